--- /dev/null
+++ b/crates/daemon/src/caller_port.rs
@@ -0,0 +1,114 @@
+//! The callers' HTTP port.
+
+use crate::control::view::SharedView;
+use crate::entry::RequestEntry;
+use crate::entry::request::CallerRequest;
+use crate::http_port::{HttpHandler, json_response, read_body};
+use crate::metrics::DaemonMetrics;
+use bytes::Bytes;
+use camphorway_model::{AnswerOutcome, RefusalReason};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::json;
+use std::sync::Arc;
+
+/// Serves callers.
+#[derive(Debug)]
+pub struct CallerPort {
+    entry: Arc<RequestEntry>,
+    view: Arc<SharedView>,
+}
+
+/// Counts a request while it is being answered, also if the caller hangs up.
+struct RunningGuard<'metrics>(&'metrics DaemonMetrics);
+
+impl<'metrics> RunningGuard<'metrics> {
+    fn new(metrics: &'metrics DaemonMetrics) -> Self {
+        metrics.requests_running.inc();
+        Self(metrics)
+    }
+}
+
+impl Drop for RunningGuard<'_> {
+    fn drop(&mut self) {
+        self.0.requests_running.dec();
+    }
+}
+
+impl CallerPort {
+    /// A port that has `entry` answer.
+    pub fn new(entry: Arc<RequestEntry>, view: Arc<SharedView>) -> Self {
+        Self { entry, view }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let parts = self.entry.parts();
+        let (head, body) = request.into_parts();
+        let limits = &parts.limits;
+        if parts.metrics.requests_running.get() > limits.requests as i64 {
+            let problem = "too many requests at once";
+            return refusal(
+                StatusCode::SERVICE_UNAVAILABLE,
+                RefusalReason::Overloaded,
+                problem,
+            );
+        }
+        let body = match read_body(body, limits.body_bytes, limits.read_timeout).await {
+            Ok(body) => body,
+            Err(error) => {
+                return refusal(
+                    error.status(),
+                    RefusalReason::BadRequest,
+                    &error.to_string(),
+                );
+            }
+        };
+        let view = self.view.load();
+        let request = match CallerRequest::read(&head.headers, body, &view) {
+            Ok(request) => request,
+            Err(error) => {
+                return refusal(
+                    StatusCode::BAD_REQUEST,
+                    RefusalReason::BadRequest,
+                    &error.to_string(),
+                );
+            }
+        };
+        let id = request.id;
+        let answer = self.entry.answer(request).await;
+        answer.to_http(id)
+    }
+}
+
+impl HttpHandler for CallerPort {
+    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let _running = RunningGuard::new(&self.entry.parts().metrics);
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/query") => self.answer(request).await,
+            (_, "/query") => refusal(
+                StatusCode::METHOD_NOT_ALLOWED,
+                RefusalReason::BadRequest,
+                "allowed: POST",
+            ),
+            _ => refusal(
+                StatusCode::NOT_FOUND,
+                RefusalReason::BadRequest,
+                "allowed: /query",
+            ),
+        }
+    }
+}
+
+/// A refusal of what is not a request: nothing of it was sent anywhere.
+fn refusal(status: StatusCode, reason: RefusalReason, problem: &str) -> Response<Full<Bytes>> {
+    let outcome = AnswerOutcome::NotRun;
+    let body = json!({ "outcome": outcome, "reason": reason, "problem": problem });
+    let mut response = json_response(status, &body);
+    let value = hyper::header::HeaderValue::from_static("not-run");
+    response.headers_mut().insert("camphorway-outcome", value);
+    if let Ok(value) = hyper::header::HeaderValue::from_str(&reason.to_string()) {
+        response.headers_mut().insert("camphorway-reason", value);
+    }
+    response
+}
--- /dev/null
+++ b/crates/daemon/src/clock.rs
@@ -0,0 +1,138 @@
+//! The daemon's clock.
+//!
+//! `async-io` has no clock that a test can pause. This small one is its nearest
+//! kin: in production it passes through to `async_io::Timer`; a test holds a
+//! [`TestClock`] and advances it.
+
+use async_io::Timer;
+use futures_lite::{FutureExt, future};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Poll, Waker};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Tells the time and sleeps.
+#[derive(Clone, Debug)]
+pub enum DaemonClock {
+    /// The machine's clock.
+    Real,
+    /// A clock that stands still until a test advances it.
+    Test(Arc<TestClock>),
+}
+
+/// A clock that a test advances.
+pub struct TestClock {
+    start: Instant,
+    start_unix: Duration,
+    state: Mutex<TestState>,
+}
+
+#[derive(Debug, Default)]
+struct TestState {
+    elapsed: Duration,
+    next: u64,
+    sleepers: BTreeMap<(Duration, u64), Waker>,
+}
+
+impl fmt::Debug for TestClock {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("TestClock").finish_non_exhaustive()
+    }
+}
+
+impl TestClock {
+    /// A clock that stands at `unix` since 1970.
+    pub fn new(unix: Duration) -> Arc<Self> {
+        Arc::new(Self {
+            start: Instant::now(),
+            start_unix: unix,
+            state: Mutex::default(),
+        })
+    }
+
+    /// Moves the time on and wakes whoever sleeps no longer.
+    pub fn advance(&self, step: Duration) {
+        let mut state = self.lock();
+        state.elapsed += step;
+        let first_later = (state.elapsed + Duration::from_nanos(1), 0);
+        let later = state.sleepers.split_off(&first_later);
+        let due = std::mem::replace(&mut state.sleepers, later);
+        drop(state);
+        for waker in due.into_values() {
+            waker.wake();
+        }
+    }
+
+    fn elapsed(&self) -> Duration {
+        self.lock().elapsed
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, TestState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn sleep_until(&self, until: Duration) {
+        future::poll_fn(|context| {
+            let mut state = self.lock();
+            if state.elapsed >= until {
+                return Poll::Ready(());
+            }
+            state.next += 1;
+            let key = (until, state.next);
+            state.sleepers.insert(key, context.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+}
+
+impl DaemonClock {
+    /// The monotonic time.
+    pub fn now(&self) -> Instant {
+        match self {
+            Self::Real => Instant::now(),
+            Self::Test(clock) => clock.start + clock.elapsed(),
+        }
+    }
+
+    /// Milliseconds since 1970.
+    pub fn unix_ms(&self) -> u64 {
+        let unix = match self {
+            Self::Real => SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .unwrap_or_default(),
+            Self::Test(clock) => clock.start_unix + clock.elapsed(),
+        };
+        unix.as_millis() as u64
+    }
+
+    /// Sleeps for `duration`.
+    pub async fn sleep(&self, duration: Duration) {
+        match self {
+            Self::Real => {
+                Timer::after(duration).await;
+            }
+            Self::Test(clock) => clock.sleep_until(clock.elapsed() + duration).await,
+        }
+    }
+
+    /// Sleeps until `instant`.
+    pub async fn sleep_until(&self, instant: Instant) {
+        let left = instant.saturating_duration_since(self.now());
+        self.sleep(left).await;
+    }
+
+    /// Runs `work` for at most `limit`; none if it took longer.
+    pub async fn timeout<Work, Output>(&self, limit: Duration, work: Work) -> Option<Output>
+    where
+        Work: Future<Output = Output>,
+    {
+        let work = async { Some(work.await) };
+        let timer = async {
+            self.sleep(limit).await;
+            None
+        };
+        work.or(timer).await
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control.rs
@@ -0,0 +1,439 @@
+//! The control thread: owns what the daemon believes about the tier, and
+//! publishes it as an immutable view that traffic threads read.
+//!
+//! Traffic never waits for control. Whatever other threads learn arrives over
+//! one bounded channel.
+
+pub mod dump;
+pub mod view;
+pub mod watch;
+
+use crate::clock::DaemonClock;
+use crate::control::view::{SharedView, TierView};
+use crate::event;
+use crate::metrics::DaemonMetrics;
+use crate::peer::link::PeerLinks;
+use crate::peer::message::{PullReply, PullRequest};
+use crate::store::client::{VmKind, VmList, VmState};
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use camphorway_gossip::membership::SharedDigest;
+use camphorway_gossip::tracker::HEAD_KEY;
+use camphorway_gossip::{
+    ConfigTracker, GossipMessage, MemberAction, MemberTable, SharedItem, SharedItems, TrackerEvent,
+};
+use camphorway_model::{HeadObject, PartReference};
+use camphorway_policy::{CrashReport, QuarantineTable};
+use futures_lite::FutureExt;
+use serde_json::Value;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+const INBOX: usize = 8_192;
+const ANNOUNCE_FANOUT: usize = 3;
+/// Crash reports go to this many members at once, not waiting for a round.
+const CRASH_FANOUT: usize = 16;
+/// The item that lists backend servers that are leaving.
+pub const LEAVING_KEY: &str = "vms/leaving";
+/// The prefix of layout objects.
+pub const LAYOUT_PREFIX: &str = "config/layouts/";
+/// A peer is asked again for a difference only after this time.
+const PULL_PAUSE: Duration = Duration::from_millis(200);
+
+/// The quarantine, shared with traffic threads; held for short steps only.
+pub type SharedQuarantine = Arc<Mutex<QuarantineTable>>;
+
+/// What the control thread is told.
+#[derive(Debug)]
+pub enum ControlInput {
+    /// A gossip message arrived.
+    Gossip(GossipMessage),
+    /// A peer asks for what it lacks.
+    PullAsked(PullRequest, Sender<PullReply>),
+    /// A peer's answer to our pull.
+    Pulled(PullReply),
+    /// Objects read from the store.
+    Items(Vec<SharedItem>),
+    /// The VM list as read from the platform.
+    Vms(VmList),
+    /// A backend server crashed.
+    Crash(CrashReport),
+    /// An operator asks for the state.
+    Dump(Sender<Value>),
+    /// The daemon is stopping.
+    Leave,
+}
+
+/// Reaches the control thread.
+#[derive(Clone, Debug)]
+pub struct ControlHandle {
+    sender: Sender<ControlInput>,
+}
+
+impl ControlHandle {
+    /// A handle and the inbox that it fills.
+    pub fn new() -> (Self, Receiver<ControlInput>) {
+        let (sender, inbox) = async_channel::bounded(INBOX);
+        (Self { sender }, inbox)
+    }
+
+    /// Tells the control thread something, unless its inbox is full.
+    pub fn offer(&self, input: ControlInput) {
+        if self.sender.try_send(input).is_err() {
+            event!(Warn, "control-inbox-full");
+        }
+    }
+
+    /// Tells the control thread something, waiting for room.
+    pub async fn send(&self, input: ControlInput) {
+        // The channel closes only when the daemon ends.
+        let _ = self.sender.send(input).await;
+    }
+}
+
+/// What the control thread is built from.
+#[derive(Debug)]
+pub struct ControlParts {
+    /// Membership.
+    pub members: MemberTable,
+    /// The view to publish to.
+    pub view: Arc<SharedView>,
+    /// Connections to peers.
+    pub links: Arc<PeerLinks>,
+    /// The quarantine.
+    pub quarantine: SharedQuarantine,
+    /// The daemon's clock.
+    pub clock: DaemonClock,
+    /// The daemon's metrics.
+    pub metrics: Arc<DaemonMetrics>,
+    /// Where the inputs come from.
+    pub inbox: Receiver<ControlInput>,
+    /// Sends inputs to itself.
+    pub handle: ControlHandle,
+    /// Ends the loop.
+    pub stop: CancellationToken,
+}
+
+/// The state of the control thread.
+struct ControlLoop<'executor> {
+    parts: ControlParts,
+    executor: Rc<LocalExecutor<'executor>>,
+    items: SharedItems,
+    tracker: ConfigTracker,
+    entry_count: usize,
+    pulls: HashMap<SocketAddr, Instant>,
+}
+
+/// Runs the control loop until stopped; call it on a thread of its own.
+pub async fn run(parts: ControlParts, executor: Rc<LocalExecutor<'_>>) {
+    let mut state = ControlLoop {
+        parts,
+        executor,
+        items: SharedItems::default(),
+        tracker: ConfigTracker::default(),
+        entry_count: 0,
+        pulls: HashMap::new(),
+    };
+    state.publish();
+    loop {
+        let now = state.parts.clock.now();
+        let due = state.parts.members.next_tick(now);
+        let input = async { state.parts.inbox.recv().await.ok().map(Some) };
+        let tick = async {
+            state.parts.clock.sleep_until(due).await;
+            Some(None)
+        };
+        let stopped = async {
+            state.parts.stop.cancelled().await;
+            None
+        };
+        match stopped.or(tick).or(input).await {
+            None => return,
+            Some(None) => state.tick(),
+            Some(Some(input)) => state.handle(input),
+        }
+    }
+}
+
+impl ControlLoop<'_> {
+    fn tick(&mut self) {
+        let now = self.parts.clock.now();
+        self.refresh_digest();
+        let actions = self.parts.members.tick(now);
+        self.act(actions);
+        self.gauge();
+    }
+
+    fn handle(&mut self, input: ControlInput) {
+        let now = self.parts.clock.now();
+        match input {
+            ControlInput::Gossip(message) => {
+                self.refresh_digest();
+                let actions = self.parts.members.receive(message, now);
+                self.act(actions);
+            }
+            ControlInput::PullAsked(request, reply) => {
+                self.learn_crashes(&request.crashes);
+                let answer = PullReply {
+                    items: self.items.newer_than(&request.versions),
+                    crashes: self.quarantine(|table| table.reports(now)),
+                };
+                // The peer has gone if this fails.
+                let _ = reply.try_send(answer);
+            }
+            ControlInput::Pulled(reply) => {
+                self.learn_crashes(&reply.crashes);
+                self.take_items(reply.items);
+            }
+            ControlInput::Items(items) => self.take_items(items),
+            ControlInput::Vms(list) => self.take_vms(&list),
+            ControlInput::Crash(report) => self.learn_crashes(&[report]),
+            ControlInput::Dump(reply) => {
+                let _ = reply.try_send(self.dump());
+            }
+            ControlInput::Leave => {
+                let actions = self.parts.members.leave(now);
+                self.act(actions);
+            }
+        }
+    }
+
+    fn act(&mut self, actions: Vec<MemberAction>) {
+        let mut changed = false;
+        for action in actions {
+            match action {
+                MemberAction::Send {
+                    address, message, ..
+                } => self.send(address, &message),
+                MemberAction::Changed => changed = true,
+                MemberAction::Differs {
+                    address, digest, ..
+                } => self.pull(address, &digest),
+            }
+        }
+        if changed {
+            self.publish();
+        }
+    }
+
+    fn send(&self, address: SocketAddr, message: &GossipMessage) {
+        let Ok(bytes) = postcard::to_stdvec(message) else {
+            return;
+        };
+        self.parts.metrics.control_message("sent", bytes.len());
+        let links = Arc::clone(&self.parts.links);
+        self.executor
+            .spawn(async move {
+                if let Err(error) = links.send(address, &bytes).await {
+                    event!(Debug, "gossip-not-sent", error = error);
+                }
+            })
+            .detach();
+    }
+
+    /// Exchanges with a peer what the digests show to differ.
+    fn pull(&mut self, address: SocketAddr, digest: &SharedDigest) {
+        let own = &self.parts.members.digest;
+        if digest.items == own.items && digest.quarantine == own.quarantine {
+            return;
+        }
+        let now = self.parts.clock.now();
+        let asked = self.pulls.get(&address);
+        if asked.is_some_and(|at| now.saturating_duration_since(*at) < PULL_PAUSE) {
+            return;
+        }
+        self.pulls.insert(address, now);
+        let request = PullRequest {
+            versions: self.items.versions(),
+            crashes: self.quarantine(|table| table.reports(now)),
+        };
+        self.exchange(address, request);
+    }
+
+    fn exchange(&self, address: SocketAddr, request: PullRequest) {
+        let links = Arc::clone(&self.parts.links);
+        let handle = self.parts.handle.clone();
+        self.executor
+            .spawn(async move {
+                match links.pull(address, request).await {
+                    Ok(reply) => handle.send(ControlInput::Pulled(reply)).await,
+                    Err(error) => event!(Debug, "pull-failed", error = error),
+                }
+            })
+            .detach();
+    }
+
+    fn learn_crashes(&mut self, reports: &[CrashReport]) {
+        let now = self.parts.clock.now();
+        let mut news = Vec::new();
+        for report in reports {
+            if self.quarantine(|table| table.crashed(report, now)) {
+                event!(
+                    Warn,
+                    "server-crash",
+                    server = report.server,
+                    content = report.content.0,
+                    alone = report.alone
+                );
+                news.push(report.clone());
+            }
+        }
+        if news.is_empty() {
+            return;
+        }
+        self.refresh_digest();
+        let own = self.parts.members.own().vm.clone();
+        let others = self
+            .parts
+            .members
+            .records()
+            .filter(|peer| peer.vm != own && peer.is_serving());
+        let mut peers: Vec<SocketAddr> = others.map(|peer| peer.address).collect();
+        fastrand::shuffle(&mut peers);
+        for peer in peers.into_iter().take(CRASH_FANOUT) {
+            let request = PullRequest {
+                versions: self.items.versions(),
+                crashes: news.clone(),
+            };
+            self.exchange(peer, request);
+        }
+    }
+
+    /// Takes over items that are newer, and the configuration they make up.
+    fn take_items(&mut self, items: Vec<SharedItem>) {
+        let mut changed = false;
+        for item in items {
+            changed |= self.items.offer(item);
+        }
+        if !changed {
+            return;
+        }
+        match self.tracker.offer_items(&self.items) {
+            TrackerEvent::Adopted(_) => {
+                let generation = self.tracker.generation();
+                event!(Info, "configuration-in-force", generation = generation);
+            }
+            TrackerEvent::Refused(faults) => {
+                for fault in faults {
+                    event!(Error, "configuration-refused", fault = fault);
+                }
+            }
+            TrackerEvent::Incomplete(parts) => {
+                event!(Info, "configuration-incomplete", missing = parts.len());
+            }
+            TrackerEvent::Old => {}
+        }
+        self.forget_old_parts();
+        self.publish();
+        let now = self.parts.clock.now();
+        let actions = self.parts.members.announce(ANNOUNCE_FANOUT, now);
+        self.act(actions);
+    }
+
+    /// Forgets parts that neither the head in force nor the newest one names.
+    /// A peer that is behind offers its old ones again and again.
+    fn forget_old_parts(&mut self) {
+        let newest: Option<HeadObject> = self
+            .items
+            .text(HEAD_KEY)
+            .and_then(|text| serde_json::from_str(text).ok());
+        let heads = newest.iter().chain(std::iter::once(self.tracker.head()));
+        let keys: BTreeSet<String> = heads
+            .flat_map(|head| head.parts.iter().map(PartReference::object_key))
+            .collect();
+        let is_part = |key: &str| key.starts_with("config/parts/");
+        self.items.retain(|key| !is_part(key) || keys.contains(key));
+    }
+
+    /// Takes the VM list: daemons to try, and backend servers that are leaving.
+    fn take_vms(&mut self, list: &VmList) {
+        let entries: Vec<_> = list
+            .vms
+            .iter()
+            .filter(|vm| vm.kind == VmKind::Entry)
+            .collect();
+        // A list that suddenly lacks most of the fleet is taken to be at fault.
+        if entries.len() * 2 < self.entry_count {
+            event!(
+                Warn,
+                "vm-list-not-believed",
+                listed = entries.len(),
+                before = self.entry_count
+            );
+            return;
+        }
+        self.entry_count = entries.len();
+        let addresses = entries.iter().map(|vm| vm.address);
+        self.parts.members.add_candidates(addresses);
+        let leaving = |vm: &&crate::store::client::ListedVm| {
+            vm.kind == VmKind::Backend && vm.state == VmState::Leaving
+        };
+        let names: Vec<&str> = list
+            .vms
+            .iter()
+            .filter(leaving)
+            .map(|vm| vm.name.as_str())
+            .collect();
+        let text = serde_json::to_string(&names).unwrap_or_default();
+        if self.items.text(LEAVING_KEY) != Some(&text) {
+            let item = SharedItem {
+                key: LEAVING_KEY.to_owned(),
+                version: list.revision,
+                text: Arc::from(text.as_str()),
+            };
+            self.take_items(vec![item]);
+        }
+    }
+
+    fn publish(&mut self) {
+        self.refresh_digest();
+        let before = self.parts.view.load();
+        let view = TierView::build(&before, &self.parts.members, &self.items, &self.tracker);
+        self.parts.view.store(Arc::new(view));
+        self.gauge();
+    }
+
+    fn refresh_digest(&mut self) {
+        self.parts.members.digest.items = self.items.digest();
+        self.parts.members.digest.quarantine = self.quarantine(|table| table.digest());
+    }
+
+    fn quarantine<Output, Step>(&self, step: Step) -> Output
+    where
+        Step: FnOnce(&mut QuarantineTable) -> Output,
+    {
+        step(&mut lock_quarantine(&self.parts.quarantine))
+    }
+
+    fn gauge(&self) {
+        let metrics = &self.parts.metrics;
+        metrics.generation.set(self.tracker.generation().0 as i64);
+        let counts = self.parts.members.counts();
+        for (state, count) in ["alive", "suspect", "leaving", "dead"].iter().zip(counts) {
+            metrics
+                .members
+                .with_label_values(&[state])
+                .set(count as i64);
+        }
+        let (suspects, held) = self.quarantine(|table| table.counts());
+        metrics
+            .quarantine
+            .with_label_values(&["suspect"])
+            .set(suspects as i64);
+        metrics
+            .quarantine
+            .with_label_values(&["held"])
+            .set(held as i64);
+    }
+}
+
+/// Locks the quarantine; hold it for short steps only.
+pub fn lock_quarantine(
+    quarantine: &SharedQuarantine,
+) -> std::sync::MutexGuard<'_, QuarantineTable> {
+    quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/control/view.rs
@@ -0,0 +1,225 @@
+//! What the traffic threads know of the tier: an immutable value, replaced as a
+//! whole whenever the control thread learns something.
+
+use crate::control::{LAYOUT_PREFIX, LEAVING_KEY};
+use crate::event;
+use arc_swap::ArcSwap;
+use camphorway_gossip::holders::GroupSeats;
+use camphorway_gossip::{
+    ConfigTracker, HolderTable, MemberRecord, MemberTable, SharedItems, watchers,
+};
+use camphorway_model::{
+    CheckedConfiguration, FailureDomain, Generation, GroupId, GroupTable, PartReference,
+    ServerGroup, ServerName, ServiceEntry, ServiceLayout, ServiceName, SnapshotLayout, VmName,
+};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The place where the view is published.
+#[derive(Debug)]
+pub struct SharedView {
+    current: ArcSwap<TierView>,
+}
+
+/// What a daemon believes about the tier.
+#[derive(Clone, Debug)]
+pub struct TierView {
+    /// This daemon.
+    pub own: VmName,
+    /// This daemon's failure domain.
+    pub domain: FailureDomain,
+    /// The configuration in force.
+    pub generation: Generation,
+    /// Inventory and rules.
+    pub config: Arc<CheckedConfiguration>,
+    /// Object keys of the parts that make up the configuration.
+    pub part_keys: Arc<BTreeSet<String>>,
+    /// Groups of backend servers.
+    pub groups: Arc<GroupTable>,
+    /// Services with a layout.
+    pub services: Arc<BTreeMap<ServiceName, ServiceView>>,
+    /// Who holds each group, in all failure domains.
+    pub seats: Arc<HashMap<GroupId, GroupSeats>>,
+    /// Backend servers that the VM list shows as leaving.
+    pub leaving: Arc<BTreeSet<ServerName>>,
+    /// Whether this daemon watches the platform's store for its domain.
+    pub is_watcher: bool,
+    /// Digest of the items that the parts above were built from.
+    items_digest: u64,
+}
+
+/// A service and the snapshots that may be queried.
+#[derive(Clone, Debug)]
+pub struct ServiceView {
+    /// The service.
+    pub entry: ServiceEntry,
+    /// Its snapshots, oldest first.
+    pub layout: ServiceLayout,
+    /// For each snapshot, for each shard: the groups that have a replica, the
+    /// nearest failure domain first.
+    pub routes: Vec<Vec<Vec<GroupId>>>,
+}
+
+impl SharedView {
+    /// An empty view for this daemon.
+    pub fn new(own: &VmName, domain: &FailureDomain) -> Arc<Self> {
+        let view = TierView {
+            own: own.clone(),
+            domain: domain.clone(),
+            generation: Generation::default(),
+            config: Arc::default(),
+            part_keys: Arc::default(),
+            groups: Arc::default(),
+            services: Arc::default(),
+            seats: Arc::default(),
+            leaving: Arc::default(),
+            is_watcher: false,
+            items_digest: 0,
+        };
+        Arc::new(Self {
+            current: ArcSwap::from_pointee(view),
+        })
+    }
+
+    /// The view at present.
+    pub fn load(&self) -> Arc<TierView> {
+        self.current.load_full()
+    }
+
+    /// Replaces the view.
+    pub fn store(&self, view: Arc<TierView>) {
+        self.current.store(view);
+    }
+}
+
+impl TierView {
+    /// Builds the view from the control thread's state, keeping what is the same
+    /// as `before`.
+    pub fn build(
+        before: &Self,
+        members: &MemberTable,
+        items: &SharedItems,
+        tracker: &ConfigTracker,
+    ) -> Self {
+        let mut view = before.clone();
+        view.rebuild_items(items, tracker);
+        view.rebuild_seats(members);
+        view
+    }
+
+    /// The groups for whose seats `wanted` holds.
+    pub fn groups_with<'view, Wanted>(
+        &'view self,
+        wanted: Wanted,
+    ) -> impl Iterator<Item = &'view ServerGroup>
+    where
+        Wanted: Fn(&GroupSeats) -> bool + 'view,
+    {
+        self.groups.groups.values().filter(move |group| {
+            let seats = self.seats.get(&group.id);
+            seats.is_some_and(&wanted)
+        })
+    }
+
+    fn rebuild_items(&mut self, items: &SharedItems, tracker: &ConfigTracker) {
+        let digest = items.digest();
+        if digest == self.items_digest {
+            return;
+        }
+        self.items_digest = digest;
+        if tracker.generation() != self.generation {
+            self.generation = tracker.generation();
+            self.config = Arc::clone(tracker.configuration());
+            let group_size = self.config.rules.policy.group_size;
+            self.groups = Arc::new(GroupTable::new(&self.config.inventory, group_size));
+            let keys = tracker.head().parts.iter().map(PartReference::object_key);
+            self.part_keys = Arc::new(keys.collect());
+        }
+        let names: Vec<String> = items
+            .text(LEAVING_KEY)
+            .and_then(|text| serde_json::from_str(text).ok())
+            .unwrap_or_default();
+        self.leaving = Arc::new(names.iter().map(|name| ServerName::new(name)).collect());
+        self.services = Arc::new(self.build_services(items));
+    }
+
+    fn build_services(&self, items: &SharedItems) -> BTreeMap<ServiceName, ServiceView> {
+        let mut services = BTreeMap::new();
+        for entry in self.config.inventory.services.values() {
+            let key = format!("{LAYOUT_PREFIX}{}", entry.layout);
+            let Some(text) = items.text(&key) else {
+                continue;
+            };
+            match ServiceLayout::parse(text) {
+                Ok(layout) => {
+                    let routes = layout
+                        .snapshots
+                        .iter()
+                        .map(|snapshot| self.routes(entry, snapshot));
+                    let view = ServiceView {
+                        entry: entry.clone(),
+                        routes: routes.collect(),
+                        layout: layout.clone(),
+                    };
+                    services.insert(entry.service.clone(), view);
+                }
+                Err(cause) => {
+                    event!(Error, "layout-refused", key = key, cause = cause);
+                    // The layout before stays in use.
+                    if let Some(before) = self.services.get(&entry.service) {
+                        services.insert(entry.service.clone(), before.clone());
+                    }
+                }
+            }
+        }
+        services
+    }
+
+    fn routes(&self, entry: &ServiceEntry, snapshot: &SnapshotLayout) -> Vec<Vec<GroupId>> {
+        let mut by_instance: HashMap<&str, Vec<GroupId>> = HashMap::new();
+        for place in &snapshot.shards {
+            by_instance
+                .entry(place.instance.as_str())
+                .or_insert_with(|| {
+                    let holding = self.groups.holding(&entry.service, &place.instance);
+                    let mut groups: Vec<GroupId> = holding.map(|group| group.id.clone()).collect();
+                    groups.sort_by_key(|group| self.distance(&group.domain));
+                    groups
+                });
+        }
+        let places = snapshot.shards.iter();
+        places
+            .map(|place| by_instance[place.instance.as_str()].clone())
+            .collect()
+    }
+
+    /// The own domain first, the others in an order that differs by domain, so
+    /// that one domain's loss doesn't send everyone to the same next one.
+    fn distance(&self, domain: &FailureDomain) -> u64 {
+        if *domain == self.domain {
+            return 0;
+        }
+        let pair = format!("{}/{domain}", self.domain);
+        xxh3_64(pair.as_bytes()) | 1
+    }
+
+    fn rebuild_seats(&mut self, members: &MemberTable) {
+        let mut by_domain: BTreeMap<FailureDomain, Vec<GroupId>> = BTreeMap::new();
+        for group in self.groups.groups.keys() {
+            by_domain
+                .entry(group.domain.clone())
+                .or_default()
+                .push(group.clone());
+        }
+        let seats = self.config.rules.policy.seats as usize;
+        let mut table = HashMap::new();
+        for (domain, groups) in &by_domain {
+            let serving: Vec<&MemberRecord> = members.serving(domain).collect();
+            table.extend(HolderTable::assign(groups, &serving, seats).groups);
+        }
+        self.seats = Arc::new(table);
+        let near: Vec<&MemberRecord> = members.serving(&self.domain).collect();
+        self.is_watcher = watchers(&near).iter().any(|member| member.vm == self.own);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry.rs
@@ -0,0 +1,270 @@
+//! The entry: answers callers' requests by asking the holders of the groups
+//! that have a snapshot's shards.
+
+pub mod answer;
+pub mod ask;
+pub mod fan_out;
+pub mod once;
+pub mod request;
+
+use crate::clock::DaemonClock;
+use crate::control::view::{ServiceView, SharedView, TierView};
+use crate::control::{ControlHandle, SharedQuarantine, lock_quarantine};
+use crate::entry::answer::CallerAnswer;
+use crate::entry::request::CallerRequest;
+use crate::event;
+use crate::holder::GroupHolder;
+use crate::metrics::DaemonMetrics;
+use crate::peer::link::PeerLinks;
+use crate::settings::LimitSettings;
+use crate::store::claims::ClaimKeeper;
+use crate::task::TaskSpawner;
+use camphorway_model::{CanaryMode, PerRank, RefusalReason, RequestRank};
+use camphorway_policy::choice::{self, CoverageMemory};
+use camphorway_policy::{
+    AdmissionDecision, ContentVerdict, EntryAdmission, LatencyWindow, RatioBudget, UnsentToken,
+};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// What the entry needs of the daemon.
+#[derive(Debug)]
+pub struct EntryParts {
+    /// What the daemon believes.
+    pub view: Arc<SharedView>,
+    /// The local holder.
+    pub holder: Arc<GroupHolder>,
+    /// Connections to other holders.
+    pub links: Arc<PeerLinks>,
+    /// Claims of requests that run at most once.
+    pub claims: Arc<ClaimKeeper>,
+    /// The quarantine.
+    pub quarantine: SharedQuarantine,
+    /// Takes news of crashes.
+    pub control: ControlHandle,
+    /// The daemon's clock.
+    pub clock: DaemonClock,
+    /// The daemon's metrics.
+    pub metrics: Arc<DaemonMetrics>,
+    /// Runs detached work.
+    pub spawner: TaskSpawner,
+    /// Limits towards callers.
+    pub limits: LimitSettings,
+}
+
+/// Answers callers.
+#[derive(Debug)]
+pub struct RequestEntry {
+    parts: EntryParts,
+    memory: Mutex<EntryMemory>,
+    /// Names this process's attempts; different after each start.
+    incarnation: u64,
+}
+
+/// What earlier requests have shown.
+#[derive(Debug)]
+pub struct EntryMemory {
+    /// Waits reported by holders.
+    pub admission: EntryAdmission,
+    /// Coverage found for each snapshot.
+    pub coverage: CoverageMemory,
+    /// Time for a shard's answer to arrive, by failure domain.
+    pub latency: HashMap<camphorway_model::FailureDomain, LatencyWindow>,
+    /// For shards asked again while the first answer is awaited.
+    pub hedge: RatioBudget,
+    /// For shards asked again after a failure.
+    pub retry: RatioBudget,
+}
+
+/// A request with all that was decided before anything is sent.
+#[derive(Debug)]
+pub struct AdmittedRequest {
+    /// The request.
+    pub request: Arc<CallerRequest>,
+    /// The view for the whole request.
+    pub view: Arc<TierView>,
+    /// Index of the snapshot within the service's layout.
+    pub snapshot: usize,
+    /// When the answer is worthless.
+    pub deadline: Instant,
+    /// How the content may run.
+    pub verdict: ContentVerdict,
+}
+
+impl AdmittedRequest {
+    /// The service asked.
+    ///
+    /// # Panics
+    /// Panics if the view lacks the service, which admission has ruled out.
+    pub fn service(&self) -> &ServiceView {
+        &self.view.services[&self.request.service]
+    }
+}
+
+impl RequestEntry {
+    /// An entry without memory.
+    pub fn new(parts: EntryParts) -> Arc<Self> {
+        let memory = EntryMemory {
+            admission: EntryAdmission::default(),
+            coverage: CoverageMemory::default(),
+            latency: HashMap::new(),
+            hedge: RatioBudget::new(0.0),
+            retry: RatioBudget::new(0.0),
+        };
+        Arc::new(Self {
+            parts,
+            memory: Mutex::new(memory),
+            incarnation: fastrand::u64(..),
+        })
+    }
+
+    /// What the entry was built from.
+    pub fn parts(&self) -> &EntryParts {
+        &self.parts
+    }
+
+    /// What earlier requests have shown; hold it for short steps only.
+    pub fn memory(&self) -> MutexGuard<'_, EntryMemory> {
+        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A number that differs after each start of the daemon.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Answers one request.
+    pub async fn answer(self: &Arc<Self>, request: CallerRequest) -> CallerAnswer {
+        let began = self.parts.clock.now();
+        let rank = request.rank;
+        let id = request.id;
+        let token = UnsentToken::for_new_request();
+        let answer = match self.admit(request, began) {
+            Ok(admitted) if admitted.request.idempotent => {
+                fan_out::run(self, admitted, token).await
+            }
+            Ok(admitted) => once::run(self, admitted, token).await,
+            Err((reason, retry_after)) => {
+                CallerAnswer::not_run(&token.refuse(reason)).with_retry_after(retry_after)
+            }
+        };
+        let took = self.parts.clock.now().saturating_duration_since(began);
+        self.parts.metrics.answered(rank, answer.outcome(), took);
+        if let Some(reason) = answer.reason() {
+            self.parts.metrics.refused(rank, reason);
+        }
+        event!(
+            Debug,
+            "request-done",
+            request = id,
+            rank = rank,
+            outcome = answer.outcome(),
+            took_us = took.as_micros()
+        );
+        answer
+    }
+
+    /// Decides whether and on which snapshot a request runs; nothing is sent.
+    fn admit(
+        &self,
+        request: CallerRequest,
+        now: Instant,
+    ) -> Result<AdmittedRequest, (RefusalReason, Duration)> {
+        let view = self.parts.view.load();
+        let refuse = |reason| Err((reason, Duration::ZERO));
+        if view.generation.0 == 0 {
+            return refuse(RefusalReason::Unavailable);
+        }
+        if !view
+            .config
+            .inventory
+            .services
+            .contains_key(&request.service)
+        {
+            return refuse(RefusalReason::UnknownService);
+        }
+        let Some(service) = view.services.get(&request.service) else {
+            return refuse(RefusalReason::Unavailable);
+        };
+        let canary = request.canary;
+        let verdict = lock_quarantine(&self.parts.quarantine).verdict(request.content, canary, now);
+        if let ContentVerdict::Held(left) = verdict {
+            return Err((RefusalReason::Quarantined, left));
+        }
+        let Some(snapshot) = self.choose_snapshot(service, &view, now) else {
+            return refuse(RefusalReason::Unavailable);
+        };
+        let deadline = now + request.time_limit;
+        if view.config.rules.policy.early_refusal {
+            self.check_waits(&request, service, &view, snapshot, now)?;
+        }
+        let request = Arc::new(request);
+        Ok(AdmittedRequest {
+            request,
+            view,
+            snapshot,
+            deadline,
+            verdict,
+        })
+    }
+
+    fn choose_snapshot(
+        &self,
+        service: &ServiceView,
+        view: &TierView,
+        now: Instant,
+    ) -> Option<usize> {
+        let memory = self.memory();
+        let name = &service.entry.service;
+        let layouts = &service.layout.snapshots;
+        let newest_only = view.config.rules.policy.newest_snapshot;
+        let chosen = choice::snapshot(
+            layouts,
+            service.entry.coverage_target,
+            newest_only,
+            |layout| memory.coverage.expected(name, layout.snapshot, now),
+        )?;
+        layouts
+            .iter()
+            .position(|layout| layout.snapshot == chosen.snapshot)
+    }
+
+    fn check_waits(
+        &self,
+        request: &CallerRequest,
+        service: &ServiceView,
+        view: &TierView,
+        snapshot: usize,
+        now: Instant,
+    ) -> Result<(), (RefusalReason, Duration)> {
+        let rules = &view.config.rules.ranks;
+        let bound = |rank: RequestRank| rules[rank].max_refused;
+        let bounds = PerRank(RequestRank::ALL.map(bound));
+        let routes = service.routes[snapshot].iter();
+        let places = service.layout.snapshots[snapshot].shards.iter();
+        let nearest = routes
+            .zip(places)
+            .filter_map(|(route, place)| Some((route.first()?, place.weight)));
+        let mut memory = self.memory();
+        memory.admission.set_max_refused(bounds);
+        let target = if request.idempotent {
+            service.entry.coverage_target
+        } else {
+            1.0
+        };
+        let decision =
+            memory
+                .admission
+                .decide(request.rank, request.time_limit, target, nearest, now);
+        match decision {
+            AdmissionDecision::Admit => Ok(()),
+            AdmissionDecision::Refuse { retry_after } => {
+                Err((RefusalReason::Overloaded, retry_after))
+            }
+        }
+    }
+}
+
+/// The canary mode of a request that no rule covers.
+pub const DEFAULT_CANARY: CanaryMode = CanaryMode::Suspects;
--- /dev/null
+++ b/crates/daemon/src/entry/once.rs
@@ -0,0 +1,274 @@
+//! Requests that must run at most once.
+//!
+//! The attempt first owns the claim of the request's id in the platform's
+//! store, then dispatches once. The work goes on when the caller has gone or
+//! its deadline has passed, so that the claim gets its end and a caller who
+//! sends again gets the first answer.
+
+use crate::control::{ControlInput, lock_quarantine};
+use crate::entry::answer::CallerAnswer;
+use crate::entry::ask::{AskEvent, GroupAsk};
+use crate::entry::{AdmittedRequest, RequestEntry};
+use crate::event;
+use crate::peer::message::{GroupRequest, NotSentReason, RunMode, ShardAsk, ShardResult};
+use crate::store::claims::ClaimReply;
+use camphorway_model::{AnswerOutcome, GroupId, RefusalReason, SnapshotLayout};
+use camphorway_policy::claim::{ClaimState, LARGEST_KEPT_ANSWER};
+use camphorway_policy::{ClaimDecision, ClaimWindow, ContentVerdict, UnsentToken};
+use futures_lite::FutureExt;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How long after the deadline a late answer is still recorded.
+const LATE_WAIT: Duration = Duration::from_secs(30);
+
+static ATTEMPTS: AtomicU64 = AtomicU64::new(0);
+
+/// One attempt at a request that must run at most once.
+struct OnceAttempt {
+    entry: Arc<RequestEntry>,
+    admitted: AdmittedRequest,
+    /// Unique for each attempt of each process.
+    owner: String,
+    /// Whoever takes it decides: the work dispatches, or the deadline refuses.
+    token: Mutex<Option<UnsentToken>>,
+}
+
+/// Runs a request at most once.
+pub async fn run(
+    entry: &Arc<RequestEntry>,
+    admitted: AdmittedRequest,
+    token: UnsentToken,
+) -> CallerAnswer {
+    let clock = &entry.parts().clock;
+    let retention = admitted.view.config.rules.policy.claim_retention;
+    match ClaimWindow::of(&admitted.request.id, clock.unix_ms(), retention) {
+        ClaimWindow::Open => {}
+        // Its record may be gone, so nothing can be said of whether it ran.
+        ClaimWindow::Expired => return CallerAnswer::unknown(RefusalReason::Expired),
+        ClaimWindow::Future => {
+            return CallerAnswer::not_run(&token.refuse(RefusalReason::IssuedInFuture));
+        }
+    }
+    let deadline = admitted.deadline;
+    let number = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
+    let owner = format!(
+        "{}/{:016x}/{number}",
+        admitted.view.own,
+        entry.incarnation()
+    );
+    let attempt = Arc::new(OnceAttempt {
+        entry: Arc::clone(entry),
+        admitted,
+        owner,
+        token: Mutex::new(Some(token)),
+    });
+    let (sender, answer) = async_channel::bounded(1);
+    let worker = Arc::clone(&attempt);
+    entry.parts().spawner.spawn(async move {
+        if let Some(answer) = worker.work().await {
+            // The caller may have its answer already.
+            let _ = sender.try_send(answer);
+        }
+    });
+    let answered = async { answer.recv().await.ok() };
+    let late = async {
+        clock.sleep_until(deadline).await;
+        None
+    };
+    if let Some(answer) = answered.or(late).await {
+        return answer;
+    }
+    match attempt.take_token() {
+        Some(token) => CallerAnswer::not_run(&token.refuse(RefusalReason::Deadline)),
+        None => CallerAnswer::unknown(RefusalReason::Deadline),
+    }
+}
+
+impl OnceAttempt {
+    fn take_token(&self) -> Option<UnsentToken> {
+        self.token
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take()
+    }
+
+    /// Claims and dispatches; none if the deadline refused the request first.
+    async fn work(&self) -> Option<CallerAnswer> {
+        let request = &self.admitted.request;
+        let content = self.claimed_content();
+        let claims = &self.entry.parts().claims;
+        let reply = claims
+            .claim(request.id, &self.owner, content, self.admitted.deadline)
+            .await;
+        event!(
+            Debug,
+            "claim",
+            request = request.id,
+            owner = self.owner,
+            reply = format!("{reply:?}")
+        );
+        match reply {
+            ClaimReply::Unavailable => self.refuse(RefusalReason::StoreUnavailable),
+            ClaimReply::Decided(ClaimDecision::Conflict) => self.refuse(RefusalReason::IdConflict),
+            ClaimReply::Decided(ClaimDecision::InProgress) => {
+                Some(CallerAnswer::unknown(RefusalReason::InProgress))
+            }
+            ClaimReply::Decided(ClaimDecision::Ended { outcome, answer }) => {
+                Some(ended_answer(outcome, answer))
+            }
+            ClaimReply::Decided(ClaimDecision::Own) => {
+                let Some(token) = self.take_token() else {
+                    claims.void(request.id, &self.owner, content);
+                    return None;
+                };
+                Some(self.dispatch(token).await)
+            }
+        }
+    }
+
+    /// The claim's hash covers the key too: it chooses where the request runs.
+    fn claimed_content(&self) -> u64 {
+        let key = self.admitted.request.key.as_deref().unwrap_or_default();
+        self.admitted.request.content.0 ^ xxh3_64(key.as_bytes()).rotate_left(1)
+    }
+
+    fn refuse(&self, reason: RefusalReason) -> Option<CallerAnswer> {
+        let token = self.take_token()?;
+        Some(CallerAnswer::not_run(&token.refuse(reason)))
+    }
+
+    async fn dispatch(&self, mut token: UnsentToken) -> CallerAnswer {
+        let service = self.admitted.service();
+        let layout = &service.layout.snapshots[self.admitted.snapshot];
+        let shard = self.shard_index(layout);
+        let mut reason = RefusalReason::Unavailable;
+        for group in &service.routes[self.admitted.snapshot][shard] {
+            let mut ledger = token.dispatch();
+            ledger.sent(1);
+            let result = self.ask(group, layout, shard).await;
+            if let Some(ShardResult::NotSent(cause)) = result {
+                ledger.came_back_unsent();
+                match ledger.close() {
+                    Ok(unsent) => token = unsent,
+                    Err(_) => return CallerAnswer::unknown(RefusalReason::LostReply),
+                }
+                if cause == NotSentReason::Late {
+                    reason = RefusalReason::Deadline;
+                    break;
+                }
+                if cause == NotSentReason::Crowded {
+                    reason = RefusalReason::Overloaded;
+                }
+                continue;
+            }
+            return self.ended(result);
+        }
+        let proof = token.refuse(reason);
+        // Only now may another attempt claim the id: nothing of this one can run any more.
+        let content = self.claimed_content();
+        let claims = &self.entry.parts().claims;
+        claims.void(self.admitted.request.id, &self.owner, content);
+        CallerAnswer::not_run(&proof)
+    }
+
+    fn shard_index(&self, layout: &SnapshotLayout) -> usize {
+        let request = &self.admitted.request;
+        let hash = match &request.key {
+            Some(key) => xxh3_64(key.as_bytes()),
+            None => xxh3_64(request.id.as_bytes()),
+        };
+        (hash % layout.shards.len() as u64) as usize
+    }
+
+    /// Sends the request to one group; none if its end can't be known.
+    async fn ask(
+        &self,
+        group: &GroupId,
+        layout: &SnapshotLayout,
+        shard: usize,
+    ) -> Option<ShardResult> {
+        let request = &self.admitted.request;
+        let place = &layout.shards[shard];
+        let mode = match self.admitted.verdict {
+            ContentVerdict::Free | ContentVerdict::CanaryFirst => RunMode::Once,
+            ContentVerdict::SuspectAlone | ContentVerdict::Held(_) => RunMode::Alone,
+        };
+        let message = GroupRequest {
+            request: request.id,
+            service: request.service.clone(),
+            group: group.clone(),
+            snapshot: layout.snapshot,
+            shards: vec![ShardAsk {
+                shard: place.shard,
+                instance: place.instance.clone(),
+            }],
+            rank: request.rank,
+            kind: request.kind,
+            content: request.content,
+            time_left: Duration::ZERO,
+            mode,
+            idempotent: false,
+            body: request.body.clone(),
+        };
+        let (events, told) = async_channel::bounded::<AskEvent>(1);
+        let ask = GroupAsk {
+            entry: Arc::clone(&self.entry),
+            view: Arc::clone(&self.admitted.view),
+            request: message,
+            deadline: self.admitted.deadline,
+            events,
+            cancel: CancellationToken::new(),
+        };
+        self.entry.parts().spawner.spawn(ask.run());
+        let clock = &self.entry.parts().clock;
+        let result = async { told.recv().await.ok().map(|event| event.result) };
+        let late = async {
+            clock.sleep_until(self.admitted.deadline + LATE_WAIT).await;
+            None
+        };
+        result.or(late).await
+    }
+
+    /// Records the end of a request that was sent.
+    fn ended(&self, result: Option<ShardResult>) -> CallerAnswer {
+        let parts = self.entry.parts();
+        let request = &self.admitted.request;
+        match result {
+            Some(ShardResult::Answered(body)) => {
+                let text = String::from_utf8_lossy(&body).into_owned();
+                let merged = match serde_json::from_str::<&serde_json::value::RawValue>(&text) {
+                    Ok(_) => text,
+                    Err(_) => serde_json::Value::from(text).to_string(),
+                };
+                let answer = (merged.len() <= LARGEST_KEPT_ANSWER).then(|| merged.clone());
+                let state = ClaimState::Done {
+                    outcome: AnswerOutcome::Complete,
+                    answer,
+                };
+                parts.claims.end(request.id, &self.owner, state);
+                let now = parts.clock.now();
+                lock_quarantine(&parts.quarantine).succeeded(request.content, now);
+                CallerAnswer::confirmed(Some(merged))
+            }
+            Some(ShardResult::Crashed(report)) => {
+                parts.control.offer(ControlInput::Crash(report));
+                CallerAnswer::unknown(RefusalReason::Quarantined)
+            }
+            Some(ShardResult::NoSnapshot | ShardResult::Failed(_) | ShardResult::NotSent(_))
+            | None => CallerAnswer::unknown(RefusalReason::LostReply),
+        }
+    }
+}
+
+fn ended_answer(outcome: AnswerOutcome, answer: Option<String>) -> CallerAnswer {
+    match outcome {
+        AnswerOutcome::Complete | AnswerOutcome::Partial => CallerAnswer::confirmed(answer),
+        AnswerOutcome::NotRun | AnswerOutcome::Unknown => {
+            CallerAnswer::unknown(RefusalReason::LostReply)
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/request.rs
@@ -0,0 +1,177 @@
+//! A caller's request, read from its headers; docs/callers.md describes them.
+
+use crate::control::view::TierView;
+use crate::entry::DEFAULT_CANARY;
+use bytes::Bytes;
+use camphorway_model::{CallerName, CanaryMode, RequestId, RequestRank, ServiceName};
+use camphorway_policy::{ContentHash, KindHash};
+use derive_more::Display;
+use hyper::header::HeaderMap;
+use std::time::Duration;
+use xxhash_rust::xxh3::Xxh3;
+
+/// The request's id, a `UUIDv7`.
+pub const REQUEST_HEADER: &str = "camphorway-request";
+/// The service asked.
+pub const SERVICE_HEADER: &str = "camphorway-service";
+/// Who asks.
+pub const CALLER_HEADER: &str = "camphorway-caller";
+/// The kind of work, for the rules.
+pub const KIND_HEADER: &str = "camphorway-kind";
+/// The rank wished for; it can only lower the rules' rank.
+pub const RANK_HEADER: &str = "camphorway-rank";
+/// The time limit in milliseconds.
+pub const DEADLINE_HEADER: &str = "camphorway-deadline-ms";
+/// `no` if the request must run at most once.
+pub const IDEMPOTENT_HEADER: &str = "camphorway-idempotent";
+/// Chooses the shard of a request that runs at most once.
+pub const KEY_HEADER: &str = "camphorway-key";
+const MOST_DEADLINE_MS: u64 = 600_000;
+const MOST_NAME: usize = 128;
+
+/// A request that was read and ranked.
+#[derive(Clone, Debug)]
+pub struct CallerRequest {
+    /// Its id.
+    pub id: RequestId,
+    /// The service asked.
+    pub service: ServiceName,
+    /// Who asks.
+    pub caller: CallerName,
+    /// Rank by the rules.
+    pub rank: RequestRank,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// When a canary goes first.
+    pub canary: CanaryMode,
+    /// Time from arrival until the answer is worthless.
+    pub time_limit: Duration,
+    /// Kind in the queues.
+    pub kind: KindHash,
+    /// Content for the quarantine.
+    pub content: ContentHash,
+    /// Chooses the shard of a request that runs at most once.
+    pub key: Option<String>,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What is wrong with a request's headers.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[display("header {header}: {problem}")]
+pub struct HeaderError {
+    /// The header.
+    pub header: &'static str,
+    /// What is wrong and what is allowed.
+    pub problem: String,
+}
+
+impl std::error::Error for HeaderError {}
+
+impl CallerRequest {
+    /// Reads the headers and applies the rules of `view`.
+    ///
+    /// # Errors
+    /// Returns the first header that is missing or malformed.
+    pub fn read(headers: &HeaderMap, body: Bytes, view: &TierView) -> Result<Self, HeaderError> {
+        let id = required(headers, REQUEST_HEADER)?;
+        let id = RequestId::parse(id).map_err(|cause| error(REQUEST_HEADER, &cause.to_string()))?;
+        let service = ServiceName::new(name(headers, SERVICE_HEADER)?);
+        let caller = CallerName::new(name(headers, CALLER_HEADER)?);
+        let kind = text(headers, KIND_HEADER)?;
+        let rules = &view.config.rules;
+        let rule = rules.find(&service, &caller, kind);
+        let ruled = rule.map_or(RequestRank::Normal, |rule| rule.rank);
+        let rank = match text(headers, RANK_HEADER)? {
+            Some(text) => RequestRank::parse(text)
+                .map(|wish| ruled.lower_of(wish))
+                .ok_or_else(|| error(RANK_HEADER, "allowed: urgent, normal, bulk"))?,
+            None => ruled,
+        };
+        let time_limit = match text(headers, DEADLINE_HEADER)? {
+            Some(text) => read_deadline(text)?,
+            None => rules.ranks[rank].deadline,
+        };
+        let rule_allows = rule.is_none_or(|rule| rule.idempotent);
+        let caller_allows = match text(headers, IDEMPOTENT_HEADER)? {
+            Some("yes") | None => true,
+            Some("no") => false,
+            Some(_) => return Err(error(IDEMPOTENT_HEADER, "allowed: yes, no")),
+        };
+        Ok(Self {
+            id,
+            rank,
+            idempotent: rule_allows && caller_allows,
+            canary: rule.map_or(DEFAULT_CANARY, |rule| rule.canary),
+            time_limit,
+            kind: kind_hash(&service, &caller),
+            content: ContentHash::of(service.as_str(), &body),
+            key: text(headers, KEY_HEADER)?.map(str::to_owned),
+            service,
+            caller,
+            body,
+        })
+    }
+}
+
+fn kind_hash(service: &ServiceName, caller: &CallerName) -> KindHash {
+    let mut hasher = Xxh3::new();
+    hasher.update(service.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(caller.as_str().as_bytes());
+    KindHash(hasher.digest())
+}
+
+fn read_deadline(text: &str) -> Result<Duration, HeaderError> {
+    match text.parse() {
+        Ok(milliseconds) if (1..=MOST_DEADLINE_MS).contains(&milliseconds) => {
+            Ok(Duration::from_millis(milliseconds))
+        }
+        Ok(_) | Err(_) => Err(error(
+            DEADLINE_HEADER,
+            "allowed: a whole number from 1 to 600000",
+        )),
+    }
+}
+
+fn text<'headers>(
+    headers: &'headers HeaderMap,
+    header: &'static str,
+) -> Result<Option<&'headers str>, HeaderError> {
+    let mut values = headers.get_all(header).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(error(header, "must stand once only"));
+    }
+    match value.to_str() {
+        Ok(text) => Ok(Some(text)),
+        Err(_) => Err(error(header, "must be plain text")),
+    }
+}
+
+fn required<'headers>(
+    headers: &'headers HeaderMap,
+    header: &'static str,
+) -> Result<&'headers str, HeaderError> {
+    text(headers, header)?.ok_or_else(|| error(header, "is missing"))
+}
+
+fn name<'headers>(
+    headers: &'headers HeaderMap,
+    header: &'static str,
+) -> Result<&'headers str, HeaderError> {
+    let name = required(headers, header)?;
+    if name.is_empty() || name.len() > MOST_NAME {
+        return Err(error(header, "must have 1 to 128 characters"));
+    }
+    Ok(name)
+}
+
+fn error(header: &'static str, problem: &str) -> HeaderError {
+    HeaderError {
+        header,
+        problem: problem.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/event.rs
@@ -0,0 +1,51 @@
+//! Log lines: one line of key=value pairs for each event.
+//!
+//! `simplelog` writes whole lines; the macro here builds the pairs.
+
+use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
+
+/// Logs an event: `event!(Info, "request-done", id = request, outcome = outcome)`.
+#[macro_export]
+macro_rules! event {
+    ($level:ident, $name:literal $(, $key:ident = $value:expr)* $(,)?) => {
+        if log::log_enabled!(log::Level::$level) {
+            let line = String::from(concat!("event=", $name));
+            $(let line = $crate::event::with_pair(line, stringify!($key), &$value);)*
+            log::log!(log::Level::$level, "{line}");
+        }
+    };
+}
+
+/// The line with ` key=value`, quoted where the value holds a space or a quote.
+pub fn with_pair<Value>(mut line: String, key: &str, value: &Value) -> String
+where
+    Value: std::fmt::Display,
+{
+    let text = value.to_string();
+    line.push(' ');
+    line.push_str(key);
+    line.push('=');
+    let plain = !text.is_empty() && !text.contains([' ', '"', '\n', '=']);
+    if plain {
+        line.push_str(&text);
+    } else {
+        line.push_str(&format!("{text:?}"));
+    }
+    line
+}
+
+/// Sends log lines of `level` and above to standard error.
+pub fn start(level: LevelFilter) {
+    let config = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_thread_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .add_filter_ignore_str("quinn")
+        .add_filter_ignore_str("rustls")
+        .add_filter_ignore_str("polling")
+        .add_filter_ignore_str("async_io")
+        .build();
+    // A second call, as in a test with several daemons, keeps the first logger.
+    let _ = WriteLogger::init(level, config, std::io::stderr());
+}
--- /dev/null
+++ b/crates/daemon/src/holder/pool.rs
@@ -0,0 +1,165 @@
+//! Connections to one backend server.
+//!
+//! The pool never has more connections than its part of the server's limit. A
+//! connection carries one call at a time, so a slot and a connection go
+//! together; one more is allowed for cancelling and for status requests.
+
+use crate::http_client::{ConnectError, RequestSender, connect};
+use crate::task::TaskSpawner;
+use camphorway_model::BackendServer;
+use camphorway_policy::invariant;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Connections kept beside those that the slots need.
+const SPARE_CONNECTIONS: u32 = 1;
+/// Connections of a server left to the standbys, one each.
+const STANDBY_CONNECTIONS: u32 = 2;
+
+/// Idle connections and the count of all.
+#[derive(Debug)]
+pub struct ConnectionPool {
+    address: SocketAddr,
+    most: usize,
+    spawner: TaskSpawner,
+    state: Mutex<PoolState>,
+}
+
+#[derive(Debug, Default)]
+struct PoolState {
+    idle: Vec<RequestSender>,
+    open: usize,
+}
+
+/// A connection in use; it is closed unless it is put back.
+#[derive(Debug)]
+pub struct PooledConnection {
+    pool: Arc<ConnectionPool>,
+    sender: Option<RequestSender>,
+    /// Whether this value answers for one of the pool's open connections.
+    counted: bool,
+}
+
+/// Why there is no connection.
+#[derive(Debug, derive_more::Display)]
+pub enum PoolError {
+    /// All connections are in use.
+    #[display("all {_0} connections are in use")]
+    Full(usize),
+    /// A new one could not be made.
+    #[display("{_0}")]
+    Connect(ConnectError),
+}
+
+impl std::error::Error for PoolError {}
+
+impl ConnectionPool {
+    /// A pool for `server` where `seats` daemons may hold it at once.
+    ///
+    /// Two tables of holders may be in use during a change, so each seat takes
+    /// half of its part.
+    pub fn new(server: &BackendServer, seats: u32, spawner: &TaskSpawner) -> Arc<Self> {
+        let shared = server.connections.saturating_sub(STANDBY_CONNECTIONS);
+        let part = shared / (2 * seats.max(1));
+        let most = part.clamp(1, server.slots + SPARE_CONNECTIONS);
+        Arc::new(Self {
+            address: server.address,
+            most: most as usize,
+            spawner: spawner.clone(),
+            state: Mutex::default(),
+        })
+    }
+
+    /// Takes an idle connection, or makes one.
+    ///
+    /// # Errors
+    /// Returns why there is none; nothing was sent.
+    pub async fn checkout(self: &Arc<Self>) -> Result<PooledConnection, PoolError> {
+        if let Some(connection) = self.take_idle()? {
+            return Ok(connection);
+        }
+        // From here the place is counted; the guard gives it back if connecting fails.
+        let mut connection = PooledConnection {
+            pool: Arc::clone(self),
+            sender: None,
+            counted: true,
+        };
+        let sender = connect(self.address, &self.spawner)
+            .await
+            .map_err(PoolError::Connect)?;
+        connection.sender = Some(sender);
+        Ok(connection)
+    }
+
+    /// Opens one connection ahead of need, if there is none.
+    pub async fn warm(self: &Arc<Self>) {
+        if self.counts().0 > 0 {
+            return;
+        }
+        if let Ok(connection) = self.checkout().await {
+            connection.put_back();
+        }
+    }
+
+    /// Open and idle connections.
+    pub fn counts(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.open, state.idle.len())
+    }
+
+    fn take_idle(self: &Arc<Self>) -> Result<Option<PooledConnection>, PoolError> {
+        let mut state = self.lock();
+        while let Some(sender) = state.idle.pop() {
+            if sender.is_ready() {
+                return Ok(Some(PooledConnection {
+                    pool: Arc::clone(self),
+                    sender: Some(sender),
+                    counted: true,
+                }));
+            }
+            state.open -= 1;
+        }
+        if state.open >= self.most {
+            return Err(PoolError::Full(self.most));
+        }
+        state.open += 1;
+        invariant::check(state.open <= self.most, "connections-within-part", || {
+            format!("{} of {} to {}", state.open, self.most, self.address)
+        });
+        Ok(None)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PoolState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl PooledConnection {
+    /// Sends requests.
+    ///
+    /// # Panics
+    /// Panics if called on a connection that was never made, which the pool rules out.
+    pub fn sender(&mut self) -> &mut RequestSender {
+        self.sender
+            .as_mut()
+            .expect("a checked-out connection has a sender")
+    }
+
+    /// Keeps the connection for the next call.
+    pub fn put_back(mut self) {
+        if let Some(sender) = self.sender.take()
+            && !sender.is_closed()
+        {
+            self.counted = false;
+            self.pool.lock().idle.push(sender);
+        }
+    }
+}
+
+impl Drop for PooledConnection {
+    fn drop(&mut self) {
+        if self.counted {
+            self.pool.lock().open -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,22 @@
+//! The daemon: adapters between the decisions and the world, and the two loops.
+//!
+//! One thread owns control state and publishes an immutable view. Other threads
+//! carry traffic: they read the view, answer callers ([`entry`]) and call
+//! backend servers on behalf of the whole tier ([`holder`]).
+
+pub mod admin_port;
+pub mod caller_port;
+pub mod clock;
+pub mod command;
+pub mod control;
+pub mod daemon;
+pub mod entry;
+pub mod event;
+pub mod holder;
+pub mod http_client;
+pub mod http_port;
+pub mod metrics;
+pub mod peer;
+pub mod settings;
+pub mod store;
+pub mod task;
--- /dev/null
+++ b/crates/daemon/src/metrics.rs
@@ -0,0 +1,207 @@
+//! The metrics that a daemon offers to Prometheus.
+
+use camphorway_model::{AnswerOutcome, RefusalReason, RequestRank};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+use std::time::Duration;
+
+/// Why a call went to a backend server.
+#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+pub enum CallPurpose {
+    /// The first try for a shard.
+    #[display("first")]
+    First,
+    /// Repeated on another replica since the first was slow.
+    #[display("hedge")]
+    Hedge,
+    /// Repeated after a failure.
+    #[display("retry")]
+    Retry,
+}
+
+/// All metrics of one daemon.
+#[derive(Debug)]
+pub struct DaemonMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    refusals: IntCounterVec,
+    latency: HistogramVec,
+    server_calls: IntCounterVec,
+    store_calls: IntCounterVec,
+    /// Bytes of control messages, by direction.
+    pub control_bytes: IntCounterVec,
+    /// Control messages, by direction.
+    pub control_messages: IntCounterVec,
+    /// Requests of callers being answered now.
+    pub requests_running: IntGauge,
+    /// Group requests of other daemons being answered now.
+    pub groups_running: IntGauge,
+    /// The generation of the configuration in force.
+    pub generation: IntGauge,
+    /// Members by state.
+    pub members: IntGaugeVec,
+    /// Contents under suspicion or held.
+    pub quarantine: IntGaugeVec,
+    /// Replies that did not belong to the call they came for.
+    pub mismatched_replies: IntCounter,
+    /// Peers refused for lack of a valid certificate.
+    pub refused_peers: IntCounter,
+    /// Broken invariants.
+    pub invariant_breaches: IntGauge,
+}
+
+impl DaemonMetrics {
+    /// Registers all metrics.
+    ///
+    /// # Panics
+    /// Panics if two metrics share a name, which is a fault of this function.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let vec = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels).expect("valid metric");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("unique name");
+            counter
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("valid metric");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("unique name");
+            gauge
+        };
+        let gauge_vec = |name: &str, help: &str, labels: &[&str]| {
+            let gauge = IntGaugeVec::new(Opts::new(name, help), labels).expect("valid metric");
+            registry
+                .register(Box::new(gauge.clone()))
+                .expect("unique name");
+            gauge
+        };
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("valid metric");
+            registry
+                .register(Box::new(counter.clone()))
+                .expect("unique name");
+            counter
+        };
+        let buckets = prometheus::exponential_buckets(0.001, 1.5, 24).expect("valid buckets");
+        let options = HistogramOpts::new("camphorway_request_seconds", "Time to answer a caller.")
+            .buckets(buckets);
+        let latency = HistogramVec::new(options, &["rank"]).expect("valid metric");
+        registry
+            .register(Box::new(latency.clone()))
+            .expect("unique name");
+        Self {
+            requests: vec(
+                "camphorway_requests_total",
+                "Requests answered.",
+                &["rank", "outcome"],
+            ),
+            refusals: vec(
+                "camphorway_refusals_total",
+                "Requests refused or failed.",
+                &["rank", "reason"],
+            ),
+            latency,
+            server_calls: vec(
+                "camphorway_server_calls_total",
+                "Calls to backend servers.",
+                &["purpose"],
+            ),
+            store_calls: vec(
+                "camphorway_store_calls_total",
+                "Calls to the platform's store.",
+                &["purpose", "result"],
+            ),
+            control_bytes: vec(
+                "camphorway_control_bytes_total",
+                "Bytes of control messages.",
+                &["direction"],
+            ),
+            control_messages: vec(
+                "camphorway_control_messages_total",
+                "Control messages.",
+                &["direction"],
+            ),
+            requests_running: gauge("camphorway_requests_running", "Requests being answered."),
+            groups_running: gauge(
+                "camphorway_groups_running",
+                "Group requests being answered.",
+            ),
+            generation: gauge("camphorway_generation", "Configuration in force."),
+            members: gauge_vec("camphorway_members", "Members of the tier.", &["state"]),
+            quarantine: gauge_vec(
+                "camphorway_quarantine",
+                "Contents that crashed servers.",
+                &["state"],
+            ),
+            mismatched_replies: counter(
+                "camphorway_mismatched_replies_total",
+                "Replies that did not fit their call.",
+            ),
+            refused_peers: counter(
+                "camphorway_refused_peers_total",
+                "Peers without a valid certificate.",
+            ),
+            invariant_breaches: gauge("camphorway_invariant_breaches", "Broken invariants."),
+            registry,
+        }
+    }
+
+    /// Counts an answer.
+    pub fn answered(&self, rank: RequestRank, outcome: AnswerOutcome, took: Duration) {
+        let rank = rank.to_string();
+        self.requests
+            .with_label_values(&[rank.as_str(), &outcome.to_string()])
+            .inc();
+        self.latency
+            .with_label_values(&[rank.as_str()])
+            .observe(took.as_secs_f64());
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, rank: RequestRank, reason: RefusalReason) {
+        self.refusals
+            .with_label_values(&[rank.to_string(), reason.to_string()].as_slice())
+            .inc();
+    }
+
+    /// Counts a call to a backend server.
+    pub fn called_server(&self, purpose: CallPurpose) {
+        self.server_calls
+            .with_label_values(&[purpose.to_string()].as_slice())
+            .inc();
+    }
+
+    /// Counts a call to the platform's store.
+    pub fn called_store(&self, purpose: &str, result: &str) {
+        self.store_calls.with_label_values(&[purpose, result]).inc();
+    }
+
+    /// Counts a control message.
+    pub fn control_message(&self, direction: &str, bytes: usize) {
+        self.control_bytes
+            .with_label_values(&[direction])
+            .inc_by(bytes as u64);
+        self.control_messages.with_label_values(&[direction]).inc();
+    }
+
+    /// All metrics in Prometheus' text format.
+    pub fn render(&self) -> Vec<u8> {
+        let breaches = camphorway_policy::invariant::breaches();
+        self.invariant_breaches.set(breaches as i64);
+        let mut text = Vec::new();
+        // Writing to memory can't fail.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
+
+impl Default for DaemonMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer.rs
@@ -0,0 +1,10 @@
+//! Traffic between daemons: QUIC with mutual TLS.
+//!
+//! A group request and a pull each use one bidirectional stream; gossip uses
+//! datagrams, or one-way streams where a message is too large for one.
+
+pub mod frame;
+pub mod link;
+pub mod message;
+pub mod serve;
+pub mod tls;
--- /dev/null
+++ b/crates/daemon/src/peer/frame.rs
@@ -0,0 +1,90 @@
+//! Frames on a QUIC stream: a length of four bytes and a postcard value.
+
+use derive_more::Display;
+use quinn::{RecvStream, SendStream};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Largest frame.
+pub const MOST_FRAME: usize = 16 * 1_048_576;
+const LENGTH_BYTES: usize = 4;
+
+/// Why a frame was not read or written.
+#[derive(Debug, Display)]
+pub enum FrameError {
+    /// The stream ended or was reset.
+    #[display("stream closed: {_0}")]
+    Closed(String),
+    /// The frame is larger than allowed.
+    #[display("frame of {_0} bytes is too large")]
+    TooLarge(usize),
+    /// The bytes are not the expected message.
+    #[display("frame is malformed: {_0}")]
+    Malformed(postcard::Error),
+}
+
+impl std::error::Error for FrameError {}
+
+/// Appends `message` as a frame.
+///
+/// # Errors
+/// Returns an error if the message can't be encoded or is too large.
+pub fn encode<Message>(message: &Message, buffer: &mut Vec<u8>) -> Result<(), FrameError>
+where
+    Message: Serialize,
+{
+    let start = buffer.len();
+    buffer.extend_from_slice(&[0; LENGTH_BYTES]);
+    let body = postcard::to_stdvec(message).map_err(FrameError::Malformed)?;
+    if body.len() > MOST_FRAME {
+        return Err(FrameError::TooLarge(body.len()));
+    }
+    buffer.extend_from_slice(&body);
+    let length = (body.len() as u32).to_le_bytes();
+    buffer[start..start + LENGTH_BYTES].copy_from_slice(&length);
+    Ok(())
+}
+
+/// Writes one frame.
+///
+/// # Errors
+/// Returns an error if the message can't be encoded or the stream is closed.
+pub async fn write<Message>(stream: &mut SendStream, message: &Message) -> Result<(), FrameError>
+where
+    Message: Serialize,
+{
+    let mut buffer = Vec::new();
+    encode(message, &mut buffer)?;
+    write_bytes(stream, &buffer).await
+}
+
+/// Writes frames that were encoded before.
+///
+/// # Errors
+/// Returns an error if the stream is closed.
+pub async fn write_bytes(stream: &mut SendStream, buffer: &[u8]) -> Result<(), FrameError> {
+    stream
+        .write_all(buffer)
+        .await
+        .map_err(|cause| FrameError::Closed(cause.to_string()))
+}
+
+/// Reads one frame.
+///
+/// # Errors
+/// Returns an error if the stream is closed or the bytes are not a message.
+pub async fn read<Message>(stream: &mut RecvStream) -> Result<Message, FrameError>
+where
+    Message: DeserializeOwned,
+{
+    let mut length = [0; LENGTH_BYTES];
+    let closed = |cause: quinn::ReadExactError| FrameError::Closed(cause.to_string());
+    stream.read_exact(&mut length).await.map_err(closed)?;
+    let length = u32::from_le_bytes(length) as usize;
+    if length > MOST_FRAME {
+        return Err(FrameError::TooLarge(length));
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.map_err(closed)?;
+    postcard::from_bytes(&body).map_err(FrameError::Malformed)
+}
--- /dev/null
+++ b/crates/daemon/src/peer/link.rs
@@ -0,0 +1,352 @@
+//! Connections to other daemons, made on first use and shared.
+
+use crate::clock::DaemonClock;
+use crate::event;
+use crate::peer::frame::{self, FrameError};
+use crate::peer::message::{HolderFrame, PeerRequest, PullReply, PullRequest};
+use crate::peer::tls::{PEER_NAME, TlsPair};
+use crate::task::TaskSpawner;
+use arc_swap::ArcSwap;
+use async_lock::Mutex as AsyncMutex;
+use derive_more::{Debug, Display};
+use quinn::{
+    AsyncTimer, AsyncUdpSocket, ClientConfig, Connection, Endpoint, EndpointConfig, RecvStream,
+    Runtime, SendStream,
+};
+use std::collections::HashMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const MOST_PULL: Duration = Duration::from_secs(5);
+
+/// At which step an exchange with a peer failed.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum PeerStep {
+    /// While connecting; nothing was sent.
+    #[display("connect")]
+    Connect,
+    /// While sending; some bytes may have left.
+    #[display("send")]
+    Send,
+    /// While waiting for the reply.
+    #[display("receive")]
+    Receive,
+}
+
+/// An exchange with a peer that failed.
+#[derive(Debug, Display)]
+#[display("{step} peer={peer}: {cause}")]
+pub struct PeerError {
+    /// The step.
+    pub step: PeerStep,
+    /// The peer.
+    pub peer: SocketAddr,
+    /// What went wrong.
+    pub cause: String,
+}
+
+impl std::error::Error for PeerError {}
+
+/// Runs quinn on the daemon's own executor; sockets are quinn's own adapter.
+#[derive(Debug)]
+struct QuicRuntime {
+    spawner: TaskSpawner,
+    sockets: quinn::SmolRuntime,
+}
+
+impl Runtime for QuicRuntime {
+    fn new_timer(&self, at: Instant) -> Pin<Box<dyn AsyncTimer>> {
+        self.sockets.new_timer(at)
+    }
+
+    fn spawn(&self, future: Pin<Box<dyn Future<Output = ()> + Send>>) {
+        self.spawner.spawn(future);
+    }
+
+    fn wrap_udp_socket(&self, socket: UdpSocket) -> std::io::Result<Arc<dyn AsyncUdpSocket>> {
+        self.sockets.wrap_udp_socket(socket)
+    }
+
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+}
+
+type LinkSlot = Arc<AsyncMutex<Option<Connection>>>;
+
+/// Bytes and packets on the wire, over all connections.
+#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
+pub struct WireCount {
+    /// UDP payload bytes sent.
+    pub sent_bytes: u64,
+    /// UDP payload bytes received.
+    pub received_bytes: u64,
+    /// Datagrams sent.
+    pub sent_packets: u64,
+    /// Datagrams received.
+    pub received_packets: u64,
+    /// Connections, made or accepted.
+    pub connections: u64,
+}
+
+/// Called with each connection, made or accepted, to read what the peer starts.
+pub type ConnectionSink = async_channel::Sender<Connection>;
+
+/// All connections to peers.
+#[derive(Debug)]
+pub struct PeerLinks {
+    endpoint: Endpoint,
+    #[debug(skip)]
+    client: ArcSwap<ClientConfig>,
+    links: Mutex<HashMap<SocketAddr, LinkSlot>>,
+    #[debug(skip)]
+    all: Mutex<Vec<Connection>>,
+    closed: Mutex<WireCount>,
+    #[debug(skip)]
+    sink: ConnectionSink,
+    clock: DaemonClock,
+}
+
+impl PeerLinks {
+    /// Opens the endpoint on `socket`.
+    ///
+    /// # Errors
+    /// Returns the system's error if the socket can't be used.
+    pub fn open(
+        socket: UdpSocket,
+        tls: TlsPair,
+        spawner: &TaskSpawner,
+        clock: &DaemonClock,
+        sink: ConnectionSink,
+    ) -> std::io::Result<Self> {
+        let runtime = QuicRuntime {
+            spawner: spawner.clone(),
+            sockets: quinn::SmolRuntime,
+        };
+        let endpoint = Endpoint::new(
+            EndpointConfig::default(),
+            Some(tls.server),
+            socket,
+            Arc::new(runtime),
+        )?;
+        Ok(Self {
+            endpoint,
+            client: ArcSwap::from_pointee(tls.client),
+            links: Mutex::default(),
+            all: Mutex::default(),
+            closed: Mutex::default(),
+            sink,
+            clock: clock.clone(),
+        })
+    }
+
+    /// Uses new keys for connections from now on; open ones stay.
+    pub fn set_tls(&self, tls: TlsPair) {
+        self.endpoint.set_server_config(Some(tls.server));
+        self.client.store(Arc::new(tls.client));
+    }
+
+    /// The endpoint, to accept connections from.
+    pub fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
+    }
+
+    /// Counts a connection, made or accepted, and has its streams read.
+    pub async fn adopt(&self, connection: Connection) {
+        self.sweep();
+        lock(&self.all).push(connection.clone());
+        let _ = self.sink.send(connection).await;
+    }
+
+    /// Bytes and packets so far.
+    pub fn wire_count(&self) -> WireCount {
+        self.sweep();
+        let mut total = *lock(&self.closed);
+        for connection in lock(&self.all).iter() {
+            add_stats(&mut total, connection);
+        }
+        total
+    }
+
+    /// The round trip to `address`, if connected.
+    pub fn round_trip(&self, address: SocketAddr) -> Option<Duration> {
+        let slot = lock(&self.links).get(&address).map(Arc::clone)?;
+        let link = slot.try_lock()?;
+        link.as_ref().map(Connection::rtt)
+    }
+
+    /// Drops the connection to `address`, which does not answer.
+    pub fn forget(&self, address: SocketAddr) {
+        let slot = lock(&self.links).remove(&address);
+        if let Some(slot) = slot
+            && let Some(mut link) = slot.try_lock()
+            && let Some(connection) = link.take()
+        {
+            connection.close(0_u32.into(), b"silent");
+        }
+    }
+
+    /// Opens a stream and sends its request.
+    ///
+    /// # Errors
+    /// Returns the step that failed; after [`PeerStep::Connect`] nothing was sent.
+    pub async fn request(
+        &self,
+        peer: SocketAddr,
+        request: &PeerRequest,
+    ) -> Result<(SendStream, RecvStream), PeerError> {
+        let connection = self.connection(peer).await?;
+        let failed = |step, cause: String| PeerError { step, peer, cause };
+        let (mut sender, receiver) = connection
+            .open_bi()
+            .await
+            .map_err(|cause| failed(PeerStep::Connect, cause.to_string()))?;
+        frame::write(&mut sender, request)
+            .await
+            .map_err(|cause| failed(PeerStep::Send, cause.to_string()))?;
+        Ok((sender, receiver))
+    }
+
+    /// Reads a holder's next frame.
+    ///
+    /// # Errors
+    /// Returns an error if the stream ended.
+    pub async fn next_frame(
+        peer: SocketAddr,
+        receiver: &mut RecvStream,
+    ) -> Result<HolderFrame, PeerError> {
+        frame::read(receiver)
+            .await
+            .map_err(|cause: FrameError| PeerError {
+                step: PeerStep::Receive,
+                peer,
+                cause: cause.to_string(),
+            })
+    }
+
+    /// Exchanges items and crash reports with a peer.
+    ///
+    /// # Errors
+    /// Returns the step that failed.
+    pub async fn pull(
+        &self,
+        peer: SocketAddr,
+        request: PullRequest,
+    ) -> Result<PullReply, PeerError> {
+        let exchange = async {
+            let (mut sender, mut receiver) =
+                self.request(peer, &PeerRequest::Pull(request)).await?;
+            let _ = sender.finish();
+            frame::read(&mut receiver)
+                .await
+                .map_err(|cause: FrameError| PeerError {
+                    step: PeerStep::Receive,
+                    peer,
+                    cause: cause.to_string(),
+                })
+        };
+        let late = || PeerError {
+            step: PeerStep::Receive,
+            peer,
+            cause: "timeout".to_owned(),
+        };
+        self.clock
+            .timeout(MOST_PULL, exchange)
+            .await
+            .unwrap_or_else(|| Err(late()))
+    }
+
+    /// Sends a gossip message; it may get lost.
+    ///
+    /// # Errors
+    /// Returns the step that failed.
+    pub async fn send(&self, peer: SocketAddr, message: &[u8]) -> Result<(), PeerError> {
+        let connection = self.connection(peer).await?;
+        let failed = |cause: String| PeerError {
+            step: PeerStep::Send,
+            peer,
+            cause,
+        };
+        let fits = connection
+            .max_datagram_size()
+            .is_some_and(|most| message.len() <= most);
+        if fits {
+            let message = bytes::Bytes::copy_from_slice(message);
+            return connection
+                .send_datagram(message)
+                .map_err(|cause| failed(cause.to_string()));
+        }
+        let mut stream = connection
+            .open_uni()
+            .await
+            .map_err(|cause| failed(cause.to_string()))?;
+        stream
+            .write_all(message)
+            .await
+            .map_err(|cause| failed(cause.to_string()))?;
+        stream.finish().map_err(|cause| failed(cause.to_string()))
+    }
+
+    async fn connection(&self, peer: SocketAddr) -> Result<Connection, PeerError> {
+        let slot = Arc::clone(lock(&self.links).entry(peer).or_default());
+        let failed = |cause: String| PeerError {
+            step: PeerStep::Connect,
+            peer,
+            cause,
+        };
+        let connect = async {
+            // Whoever comes while another connects waits for that connection.
+            let mut link = slot.lock().await;
+            if let Some(connection) = link.as_ref()
+                && connection.close_reason().is_none()
+            {
+                return Ok((connection.clone(), false));
+            }
+            let config = ClientConfig::clone(&self.client.load());
+            let connecting = self
+                .endpoint
+                .connect_with(config, peer, PEER_NAME)
+                .map_err(|cause| failed(cause.to_string()))?;
+            let connection = connecting
+                .await
+                .map_err(|cause| failed(cause.to_string()))?;
+            *link = Some(connection.clone());
+            Ok((connection, true))
+        };
+        let connected = self.clock.timeout(CONNECT_TIMEOUT, connect).await;
+        let (connection, fresh) = connected.unwrap_or_else(|| Err(failed("timeout".to_owned())))?;
+        if fresh {
+            event!(Debug, "peer-connected", peer = peer);
+            self.adopt(connection.clone()).await;
+        }
+        Ok(connection)
+    }
+
+    /// Moves the counts of closed connections to their sum.
+    fn sweep(&self) {
+        let mut closed = lock(&self.closed);
+        lock(&self.all).retain(|connection| {
+            if connection.close_reason().is_none() {
+                return true;
+            }
+            add_stats(&mut closed, connection);
+            false
+        });
+    }
+}
+
+fn add_stats(total: &mut WireCount, connection: &Connection) {
+    let stats = connection.stats();
+    total.sent_bytes += stats.udp_tx.bytes;
+    total.received_bytes += stats.udp_rx.bytes;
+    total.sent_packets += stats.udp_tx.datagrams;
+    total.received_packets += stats.udp_rx.datagrams;
+    total.connections += 1;
+}
+
+fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/peer/serve.rs
@@ -0,0 +1,217 @@
+//! Serves what other daemons start: group requests, pulls and gossip.
+
+use crate::clock::DaemonClock;
+use crate::control::{ControlHandle, ControlInput};
+use crate::event;
+use crate::holder::GroupHolder;
+use crate::metrics::DaemonMetrics;
+use crate::peer::frame::{self, FrameError};
+use crate::peer::link::PeerLinks;
+use crate::peer::message::{GroupRequest, HolderFrame, PeerRequest, PullRequest, ShardReply};
+use crate::task::TaskSpawner;
+use async_channel::Receiver;
+use camphorway_gossip::GossipMessage;
+use futures_lite::FutureExt;
+use quinn::{Connection, Incoming, RecvStream, SendStream};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+const MOST_GOSSIP: usize = 1_048_576;
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Serves peers.
+#[derive(Clone, Debug)]
+pub struct PeerServer {
+    /// Calls backend servers.
+    pub holder: Arc<GroupHolder>,
+    /// Connections.
+    pub links: Arc<PeerLinks>,
+    /// Takes gossip and pulls.
+    pub control: ControlHandle,
+    /// The daemon's clock.
+    pub clock: DaemonClock,
+    /// The daemon's metrics.
+    pub metrics: Arc<DaemonMetrics>,
+    /// Runs the streams.
+    pub spawner: TaskSpawner,
+    /// Ends the loops.
+    pub stop: CancellationToken,
+}
+
+impl PeerServer {
+    /// Accepts connections until stopped.
+    pub async fn accept(self) {
+        loop {
+            let incoming = async { self.links.endpoint().accept().await };
+            let stopped = async {
+                self.stop.cancelled().await;
+                None
+            };
+            let Some(incoming) = stopped.or(incoming).await else {
+                return;
+            };
+            let server = self.clone();
+            self.spawner
+                .spawn(async move { server.greet(incoming).await });
+        }
+    }
+
+    async fn greet(self, incoming: Incoming) {
+        let peer = incoming.remote_address();
+        match incoming.await {
+            Ok(connection) => self.links.adopt(connection).await,
+            Err(cause) => {
+                self.metrics.refused_peers.inc();
+                event!(Warn, "peer-refused", peer = peer, cause = cause);
+            }
+        }
+    }
+
+    /// Reads what peers start on the connections from `adopted`.
+    pub async fn attend_all(self, adopted: Receiver<Connection>) {
+        while let Ok(connection) = adopted.recv().await {
+            let (server, datagrams) = (self.clone(), connection.clone());
+            self.spawner
+                .spawn(async move { server.read_datagrams(datagrams).await });
+            let (server, messages) = (self.clone(), connection.clone());
+            self.spawner
+                .spawn(async move { server.read_messages(messages).await });
+            let server = self.clone();
+            self.spawner
+                .spawn(async move { server.read_requests(connection).await });
+        }
+    }
+
+    async fn read_datagrams(&self, connection: Connection) {
+        while let Ok(bytes) = connection.read_datagram().await {
+            self.take_gossip(&bytes);
+        }
+    }
+
+    async fn read_messages(&self, connection: Connection) {
+        while let Ok(mut stream) = connection.accept_uni().await {
+            if let Ok(bytes) = stream.read_to_end(MOST_GOSSIP).await {
+                self.take_gossip(&bytes);
+            }
+        }
+    }
+
+    fn take_gossip(&self, bytes: &[u8]) {
+        self.metrics.control_message("received", bytes.len());
+        match postcard::from_bytes::<GossipMessage>(bytes) {
+            Ok(message) => self.control.offer(ControlInput::Gossip(message)),
+            Err(cause) => event!(Warn, "gossip-malformed", cause = cause),
+        }
+    }
+
+    async fn read_requests(&self, connection: Connection) {
+        while let Ok((sender, receiver)) = connection.accept_bi().await {
+            let server = self.clone();
+            let peer = connection.remote_address();
+            self.spawner.spawn(async move {
+                if let Err(cause) = server.answer(sender, receiver).await {
+                    event!(Debug, "peer-request-failed", peer = peer, cause = cause);
+                }
+            });
+        }
+    }
+
+    async fn answer(
+        &self,
+        mut sender: SendStream,
+        mut receiver: RecvStream,
+    ) -> Result<(), FrameError> {
+        let request = self
+            .clock
+            .timeout(REQUEST_TIMEOUT, frame::read(&mut receiver))
+            .await;
+        let request = request.unwrap_or_else(|| Err(FrameError::Closed("timeout".to_owned())))?;
+        match request {
+            PeerRequest::Group(request) => self.answer_group(&mut sender, request).await,
+            PeerRequest::Pull(request) => self.answer_pull(&mut sender, request).await,
+        }
+    }
+
+    async fn answer_pull(
+        &self,
+        sender: &mut SendStream,
+        request: PullRequest,
+    ) -> Result<(), FrameError> {
+        let (reply, answer) = async_channel::bounded(1);
+        self.control
+            .send(ControlInput::PullAsked(request, reply))
+            .await;
+        let Ok(answer) = answer.recv().await else {
+            return Err(FrameError::Closed("control thread ended".to_owned()));
+        };
+        frame::write(sender, &answer).await?;
+        let _ = sender.finish();
+        Ok(())
+    }
+
+    async fn answer_group(
+        &self,
+        sender: &mut SendStream,
+        request: GroupRequest,
+    ) -> Result<(), FrameError> {
+        self.metrics.groups_running.inc();
+        let result = self.run_group(sender, request).await;
+        self.metrics.groups_running.dec();
+        result
+    }
+
+    async fn run_group(
+        &self,
+        sender: &mut SendStream,
+        request: GroupRequest,
+    ) -> Result<(), FrameError> {
+        frame::write(sender, &HolderFrame::Ack).await?;
+        let cancel = CancellationToken::new();
+        let guard = cancel.clone().drop_guard();
+        let group = request.group.clone();
+        let idempotent = request.idempotent;
+        let (replies, results) = async_channel::bounded(request.shards.len().max(1));
+        self.holder.start(request, &replies, &cancel);
+        drop(replies);
+        let mut stopped = std::pin::pin!(sender.stopped());
+        loop {
+            let result = async { results.recv().await.ok().map(Some) };
+            let gone = async {
+                let _ = stopped.as_mut().await;
+                Some(None)
+            };
+            match result.or(gone).await {
+                Some(Some(reply)) => {
+                    let mut buffer = Vec::new();
+                    encode_all(reply, &results, &mut buffer)?;
+                    frame::write_bytes(sender, &buffer).await?;
+                }
+                // Cancelling what must run at most once would leave its end unknown.
+                Some(None) if !idempotent => {
+                    let _ = guard.disarm();
+                    return Ok(());
+                }
+                Some(None) => return Ok(()),
+                None => break,
+            }
+        }
+        let waits = self.holder.waits(&group).0;
+        frame::write(sender, &HolderFrame::Done { waits }).await?;
+        let _ = sender.finish();
+        Ok(())
+    }
+}
+
+/// Encodes `first` and whatever else is ready, to be written at once.
+fn encode_all(
+    first: ShardReply,
+    results: &Receiver<ShardReply>,
+    buffer: &mut Vec<u8>,
+) -> Result<(), FrameError> {
+    frame::encode(&HolderFrame::Shard(first), buffer)?;
+    while let Ok(reply) = results.try_recv() {
+        frame::encode(&HolderFrame::Shard(reply), buffer)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/peer/tls.rs
@@ -0,0 +1,122 @@
+//! Keys and certificates for traffic between daemons.
+//!
+//! Both sides show a certificate of the common authority; a peer with none or
+//! with another's is refused during the handshake.
+
+use crate::settings::TlsSettings;
+use derive_more::Display;
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use quinn::{ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt};
+use rustls::RootCertStore;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::server::WebPkiClientVerifier;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The name that every daemon's certificate carries.
+pub const PEER_NAME: &str = "camphorway-daemon";
+const PROTOCOL: &[u8] = b"camphorway/1";
+const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+const MOST_BIDI_STREAMS: u32 = 4_096;
+
+/// Why keys can't be used.
+#[derive(Debug, Display)]
+pub enum TlsError {
+    /// A file can't be read as PEM.
+    #[display("{}: not readable as PEM: {cause}", path.display())]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        cause: rustls::pki_types::pem::Error,
+    },
+    /// A certificate or key is not usable.
+    #[display("certificate or key refused: {_0}")]
+    Refused(String),
+}
+
+impl std::error::Error for TlsError {}
+
+/// Both sides' configuration.
+#[derive(Debug)]
+pub struct TlsPair {
+    /// For connections we accept.
+    pub server: ServerConfig,
+    /// For connections we make.
+    pub client: ClientConfig,
+}
+
+impl TlsPair {
+    /// Reads the files of `settings`.
+    ///
+    /// # Errors
+    /// Returns the file and what is wrong with it.
+    pub fn read(settings: &TlsSettings) -> Result<Self, TlsError> {
+        let mut roots = RootCertStore::empty();
+        for authority in read_certificates(&settings.ca_file)? {
+            roots.add(authority).map_err(refused)?;
+        }
+        let roots = Arc::new(roots);
+        let chain = read_certificates(&settings.certificate_file)?;
+        let key = || {
+            PrivateKeyDer::from_pem_file(&settings.key_file).map_err(|cause| TlsError::File {
+                path: settings.key_file.clone(),
+                cause,
+            })
+        };
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let verifier =
+            WebPkiClientVerifier::builder_with_provider(Arc::clone(&roots), Arc::clone(&provider))
+                .build()
+                .map_err(refused)?;
+        let mut server = rustls::ServerConfig::builder_with_provider(Arc::clone(&provider))
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(refused)?
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(chain.clone(), key()?)
+            .map_err(refused)?;
+        server.alpn_protocols = vec![PROTOCOL.to_vec()];
+        let mut client = rustls::ClientConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&rustls::version::TLS13])
+            .map_err(refused)?
+            .with_root_certificates(roots)
+            .with_client_auth_cert(chain, key()?)
+            .map_err(refused)?;
+        client.alpn_protocols = vec![PROTOCOL.to_vec()];
+        let server = QuicServerConfig::try_from(server).map_err(refused)?;
+        let client = QuicClientConfig::try_from(client).map_err(refused)?;
+        let transport = Arc::new(transport());
+        let mut server = ServerConfig::with_crypto(Arc::new(server));
+        server.transport_config(Arc::clone(&transport));
+        let mut client = ClientConfig::new(Arc::new(client));
+        client.transport_config(transport);
+        Ok(Self { server, client })
+    }
+}
+
+fn transport() -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(IdleTimeout::try_from(IDLE_TIMEOUT).ok());
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(MOST_BIDI_STREAMS));
+    transport
+}
+
+fn read_certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, TlsError> {
+    let file = |cause| TlsError::File {
+        path: path.to_owned(),
+        cause,
+    };
+    CertificateDer::pem_file_iter(path)
+        .map_err(file)?
+        .collect::<Result<_, _>>()
+        .map_err(file)
+}
+
+fn refused<Cause>(cause: Cause) -> TlsError
+where
+    Cause: std::fmt::Display,
+{
+    TlsError::Refused(cause.to_string())
+}
--- /dev/null
+++ b/crates/daemon/src/settings.rs
@@ -0,0 +1,278 @@
+//! The daemon's settings, an INI file.
+
+use camphorway_model::ini::{self, IniFault, IniSection};
+use camphorway_model::{FailureDomain, VmName};
+use derive_more::Display;
+use simplelog::LevelFilter;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+const DAEMON_KEYS: &str = "vm, failure-domain, caller-address, peer-address, admin-address, \
+                           traffic-threads, log-level, seeds";
+const STORE_KEYS: &str = "address, token-file, calls-per-second";
+const TLS_KEYS: &str = "ca-file, certificate-file, key-file";
+const LIMIT_KEYS: &str = "body-bytes, header-bytes, read-timeout-ms, connections, requests, \
+                          balancer-lag-ms, drain-ms";
+
+/// All settings of one daemon.
+#[derive(Clone, Debug)]
+pub struct DaemonSettings {
+    /// The VM's name; also the member's name.
+    pub vm: VmName,
+    /// The failure domain that the VM stands in.
+    pub domain: FailureDomain,
+    /// Where callers are served.
+    pub caller_address: SocketAddr,
+    /// Where other daemons are served, over UDP.
+    pub peer_address: SocketAddr,
+    /// Where operators and the balancer's checks are served.
+    pub admin_address: SocketAddr,
+    /// Number of threads for traffic.
+    pub traffic_threads: usize,
+    /// Lowest level of log lines.
+    pub log_level: LevelFilter,
+    /// Daemons to ask when the platform can't be reached.
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's store.
+    pub store: StoreSettings,
+    /// Keys for traffic between daemons.
+    pub tls: TlsSettings,
+    /// Limits towards callers.
+    pub limits: LimitSettings,
+}
+
+/// How the platform's store is reached.
+#[derive(Clone, Debug)]
+pub struct StoreSettings {
+    /// Its address.
+    pub address: SocketAddr,
+    /// File that holds the access token.
+    pub token_file: Option<PathBuf>,
+    /// Most calls a second from this daemon.
+    pub calls_per_second: f64,
+}
+
+/// The files of certificates and keys, in PEM.
+#[derive(Clone, Debug)]
+pub struct TlsSettings {
+    /// Certificates of the authority that all daemons trust.
+    pub ca_file: PathBuf,
+    /// This daemon's certificate chain.
+    pub certificate_file: PathBuf,
+    /// This daemon's private key.
+    pub key_file: PathBuf,
+}
+
+/// Limits towards callers, and times for stopping.
+#[derive(Clone, Debug)]
+pub struct LimitSettings {
+    /// Largest request body.
+    pub body_bytes: usize,
+    /// Largest head of a request.
+    pub header_bytes: usize,
+    /// Longest time for a caller to send head or body.
+    pub read_timeout: Duration,
+    /// Most connections of callers.
+    pub connections: usize,
+    /// Most requests at once.
+    pub requests: usize,
+    /// How long the balancer may still send requests after readiness fails.
+    pub balancer_lag: Duration,
+    /// Longest time for a graceful shutdown.
+    pub drain: Duration,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            body_bytes: 1_048_576,
+            header_bytes: 16_384,
+            read_timeout: Duration::from_secs(5),
+            connections: 4_096,
+            requests: 4_096,
+            balancer_lag: Duration::from_secs(3),
+            drain: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Why the settings can't be used.
+#[derive(Debug, Display)]
+pub enum SettingsError {
+    /// The file can't be read.
+    #[display("{}: cannot read settings: {cause}", path.display())]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// The file has faults, one a line.
+    #[display("{}", list(_0))]
+    Faults(Vec<IniFault>),
+}
+
+impl std::error::Error for SettingsError {}
+
+fn list(faults: &[IniFault]) -> String {
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+impl DaemonSettings {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    /// Returns every fault with file, line, section and key.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Read {
+            path: path.to_owned(),
+            cause,
+        })?;
+        Self::parse(&path.display().to_string(), &text).map_err(SettingsError::Faults)
+    }
+
+    /// Parses and checks settings; `file` names them in faults.
+    ///
+    /// # Errors
+    /// Returns every fault with file, line, section and key.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<IniFault>> {
+        let mut faults = Vec::new();
+        let mut daemon = None;
+        let mut store = None;
+        let mut tls = None;
+        let mut limits = LimitSettings::default();
+        for section in ini::parse(file, text, &mut faults) {
+            match section.title() {
+                ("daemon", "") => daemon = read_daemon(section, &mut faults),
+                ("store", "") => store = read_store(section, &mut faults),
+                ("tls", "") => tls = read_tls(section, &mut faults),
+                ("limits", "") => read_limits(section, &mut limits, &mut faults),
+                _ => {
+                    let problem = "unknown section; allowed: daemon, store, tls, limits";
+                    faults.push(section.fault_at("-", problem));
+                }
+            }
+        }
+        if let (Some(mut settings), Some(store), Some(tls)) = (daemon, store, tls)
+            && faults.is_empty()
+        {
+            settings.store = store;
+            settings.tls = tls;
+            settings.limits = limits;
+            return Ok(settings);
+        }
+        if faults.is_empty() {
+            faults.push(missing_section(file));
+        }
+        Err(faults)
+    }
+}
+
+fn missing_section(file: &str) -> IniFault {
+    IniFault {
+        file: file.to_owned(),
+        line: 0,
+        section: String::new(),
+        key: "-".to_owned(),
+        problem: "a section is missing; needed: [daemon], [store], [tls]".to_owned(),
+    }
+}
+
+fn read_daemon(mut section: IniSection, faults: &mut Vec<IniFault>) -> Option<DaemonSettings> {
+    let address = "an IP address and port";
+    let vm: Option<String> = section.required("vm", "the VM's name", faults);
+    let domain: Option<String> = section.required("failure-domain", "a name", faults);
+    let caller_address = section.required("caller-address", address, faults);
+    let peer_address = section.required("peer-address", address, faults);
+    let admin_address = section.required("admin-address", address, faults);
+    let threads = section.number_within("traffic-threads", 1.0..=64.0, faults);
+    let levels = "off, error, warn, info, debug, trace";
+    let log_level = section.optional("log-level", levels, faults);
+    let seeds: Option<String> = section.optional("seeds", address, faults);
+    let mut peers = Vec::new();
+    for text in seeds.iter().flat_map(|seeds| seeds.split(',')) {
+        match text.trim().parse() {
+            Ok(peer) => peers.push(peer),
+            Err(_) => faults.push(section.fault_at(
+                "seeds",
+                &format!(
+                    "`{}` is not allowed; allowed: a list of addresses with ports",
+                    text.trim()
+                ),
+            )),
+        }
+    }
+    section.finish(DAEMON_KEYS, faults);
+    Some(DaemonSettings {
+        vm: VmName::new(&vm?),
+        domain: FailureDomain::new(&domain?),
+        caller_address: caller_address?,
+        peer_address: peer_address?,
+        admin_address: admin_address?,
+        traffic_threads: threads.map_or(2, |count| count as usize),
+        log_level: log_level.unwrap_or(LevelFilter::Info),
+        seeds: peers,
+        store: StoreSettings {
+            address: admin_address?,
+            token_file: None,
+            calls_per_second: 0.0,
+        },
+        tls: TlsSettings {
+            ca_file: PathBuf::new(),
+            certificate_file: PathBuf::new(),
+            key_file: PathBuf::new(),
+        },
+        limits: LimitSettings::default(),
+    })
+}
+
+fn read_store(mut section: IniSection, faults: &mut Vec<IniFault>) -> Option<StoreSettings> {
+    let address = section.required("address", "an IP address and port", faults);
+    let token_file = section.optional("token-file", "a path", faults);
+    let calls = section.number_within("calls-per-second", 1.0..=10_000.0, faults);
+    section.finish(STORE_KEYS, faults);
+    Some(StoreSettings {
+        address: address?,
+        token_file,
+        calls_per_second: calls.unwrap_or(100.0),
+    })
+}
+
+fn read_tls(mut section: IniSection, faults: &mut Vec<IniFault>) -> Option<TlsSettings> {
+    let ca_file = section.required("ca-file", "a path", faults);
+    let certificate_file = section.required("certificate-file", "a path", faults);
+    let key_file = section.required("key-file", "a path", faults);
+    section.finish(TLS_KEYS, faults);
+    Some(TlsSettings {
+        ca_file: ca_file?,
+        certificate_file: certificate_file?,
+        key_file: key_file?,
+    })
+}
+
+fn read_limits(mut section: IniSection, limits: &mut LimitSettings, faults: &mut Vec<IniFault>) {
+    let counts = [
+        ("body-bytes", &mut limits.body_bytes, 67_108_864.0),
+        ("header-bytes", &mut limits.header_bytes, 1_048_576.0),
+        ("connections", &mut limits.connections, 1_000_000.0),
+        ("requests", &mut limits.requests, 1_000_000.0),
+    ];
+    for (key, target, most) in counts {
+        if let Some(count) = section.number_within(key, 1.0..=most, faults) {
+            *target = count as usize;
+        }
+    }
+    let times = [
+        ("read-timeout-ms", &mut limits.read_timeout),
+        ("balancer-lag-ms", &mut limits.balancer_lag),
+        ("drain-ms", &mut limits.drain),
+    ];
+    for (key, target) in times {
+        if let Some(time) = section.number_within(key, 0.0..=3_600_000.0, faults) {
+            *target = Duration::from_millis(time as u64);
+        }
+    }
+    section.finish(LIMIT_KEYS, faults);
+}
--- /dev/null
+++ b/crates/daemon/src/store.rs
@@ -0,0 +1,4 @@
+//! The platform's object API, the only place where something lasts.
+
+pub mod claims;
+pub mod client;
--- /dev/null
+++ b/crates/daemon/src/store/client.rs
@@ -0,0 +1,466 @@
+//! A client of the platform's object API.
+//!
+//! Calls have a budget a second for each daemon. Claims may use all of it;
+//! configuration leaves some for claims, and status leaves some for both.
+
+use crate::clock::DaemonClock;
+use crate::http_client::{RequestSender, connect};
+use crate::http_port::read_body;
+use crate::metrics::DaemonMetrics;
+use crate::settings::StoreSettings;
+use crate::task::TaskSpawner;
+use bytes::Bytes;
+use derive_more::Display;
+use http_body_util::Full;
+use hyper::header::{AUTHORIZATION, HOST};
+use hyper::{Method, Request, StatusCode};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The platform answers a watch after 25 s at the latest.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
+const MOST_OBJECT: usize = 2 * 1_048_576;
+const MOST_IDLE: usize = 8;
+const BUDGET_PAUSE: Duration = Duration::from_millis(20);
+const VERSION_HEADER: &str = "version";
+const EXPECTED_HEADER: &str = "if-version";
+
+/// What a call is for; it decides how much of the budget the call may use.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum StorePurpose {
+    /// Claims of requests that run at most once.
+    #[display("claim")]
+    Claim,
+    /// Configuration and layouts.
+    #[display("configuration")]
+    Configuration,
+    /// VM list and cleaning up.
+    #[display("status")]
+    Status,
+}
+
+impl StorePurpose {
+    /// The part of the budget that this purpose leaves to others.
+    fn reserve(self) -> f64 {
+        match self {
+            Self::Claim => 0.0,
+            Self::Configuration => 0.1,
+            Self::Status => 0.3,
+        }
+    }
+}
+
+/// A call that failed: the write it made, if any, may have taken effect.
+#[derive(Debug, Display)]
+#[display("store {step} {key}: {cause}")]
+pub struct StoreError {
+    /// The step.
+    pub step: &'static str,
+    /// The key or path.
+    pub key: String,
+    /// What went wrong.
+    pub cause: String,
+}
+
+impl std::error::Error for StoreError {}
+
+/// An object as read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoredObject {
+    /// Its version.
+    pub version: u64,
+    /// Its text.
+    pub text: String,
+}
+
+/// The result of a conditional write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WriteResult {
+    /// Written, with this version.
+    Written(u64),
+    /// The object has another version than expected.
+    Conflict,
+}
+
+/// A key and its version.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ListedObject {
+    /// The key.
+    pub key: String,
+    /// The version.
+    pub version: u64,
+}
+
+/// What a watch saw.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct WatchReply {
+    /// To be given to the next watch.
+    pub revision: u64,
+    /// Objects that changed.
+    pub changes: Vec<ListedObject>,
+}
+
+/// Whether a VM is there.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VmState {
+    /// It runs.
+    Live,
+    /// It is being taken away.
+    Leaving,
+}
+
+/// What a VM is for.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VmKind {
+    /// It runs a daemon.
+    Entry,
+    /// It runs a backend server.
+    Backend,
+}
+
+/// A line of the platform's VM list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ListedVm {
+    /// The VM; for backend servers, the server's name in the inventory.
+    pub name: String,
+    /// What it is for.
+    pub kind: VmKind,
+    /// For entry VMs, the address for other daemons.
+    pub address: std::net::SocketAddr,
+    /// Whether it is there.
+    pub state: VmState,
+}
+
+/// The platform's VM list, which lags.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct VmList {
+    /// Grows with each change.
+    pub revision: u64,
+    /// The VMs.
+    pub vms: Vec<ListedVm>,
+}
+
+/// Calls the platform's store.
+#[derive(Debug)]
+pub struct StoreClient {
+    settings: StoreSettings,
+    token: Mutex<Option<String>>,
+    clock: DaemonClock,
+    spawner: TaskSpawner,
+    metrics: Arc<DaemonMetrics>,
+    idle: Mutex<Vec<RequestSender>>,
+    budget: Mutex<CallBudget>,
+}
+
+#[derive(Debug)]
+struct CallBudget {
+    tokens: f64,
+    at: Instant,
+}
+
+struct StoreReply {
+    status: StatusCode,
+    version: Option<u64>,
+    body: Bytes,
+}
+
+impl StoreClient {
+    /// A client of the store at the settings' address.
+    ///
+    /// # Errors
+    /// Returns an error if the token file can't be read.
+    pub fn new(
+        settings: &StoreSettings,
+        clock: &DaemonClock,
+        spawner: &TaskSpawner,
+        metrics: &Arc<DaemonMetrics>,
+    ) -> Result<Self, StoreError> {
+        let client = Self {
+            budget: Mutex::new(CallBudget {
+                tokens: settings.calls_per_second,
+                at: clock.now(),
+            }),
+            settings: settings.clone(),
+            token: Mutex::default(),
+            clock: clock.clone(),
+            spawner: spawner.clone(),
+            metrics: Arc::clone(metrics),
+            idle: Mutex::default(),
+        };
+        client.reload_token()?;
+        Ok(client)
+    }
+
+    /// Reads the token file again; on failure the old token stays.
+    ///
+    /// # Errors
+    /// Returns an error if the file can't be read or is empty.
+    pub fn reload_token(&self) -> Result<(), StoreError> {
+        let Some(path) = &self.settings.token_file else {
+            return Ok(());
+        };
+        let failed = |cause: String| StoreError {
+            step: "read-token",
+            key: path.display().to_string(),
+            cause,
+        };
+        let text = std::fs::read_to_string(path).map_err(|cause| failed(cause.to_string()))?;
+        let token = text.trim();
+        if token.is_empty() || token.contains(char::is_whitespace) {
+            return Err(failed("the file must hold one token".to_owned()));
+        }
+        *lock(&self.token) = Some(token.to_owned());
+        Ok(())
+    }
+
+    /// Reads an object.
+    ///
+    /// # Errors
+    /// Returns an error if the store did not answer.
+    pub async fn get(
+        &self,
+        key: &str,
+        purpose: StorePurpose,
+    ) -> Result<Option<StoredObject>, StoreError> {
+        let request = self.request(Method::GET, &format!("/objects/{key}"), None, Bytes::new());
+        let reply = self
+            .call("get", key, purpose, CALL_TIMEOUT, request)
+            .await?;
+        match (reply.status, reply.version) {
+            (StatusCode::OK, Some(version)) => {
+                let text = String::from_utf8(reply.body.to_vec())
+                    .map_err(|_| failed("get", key, "object is not UTF-8".to_owned()))?;
+                Ok(Some(StoredObject { version, text }))
+            }
+            (StatusCode::NOT_FOUND, _) => Ok(None),
+            (status, _) => Err(failed("get", key, format!("status {status}"))),
+        }
+    }
+
+    /// Writes an object if its version is `expected`, none for a new object.
+    ///
+    /// # Errors
+    /// Returns an error if the store did not answer; the write may have taken effect.
+    pub async fn put(
+        &self,
+        key: &str,
+        text: &str,
+        expected: Option<u64>,
+        purpose: StorePurpose,
+    ) -> Result<WriteResult, StoreError> {
+        let body = Bytes::copy_from_slice(text.as_bytes());
+        let request = self.request(
+            Method::PUT,
+            &format!("/objects/{key}"),
+            Some(expected.unwrap_or(0)),
+            body,
+        );
+        let reply = self
+            .call("put", key, purpose, CALL_TIMEOUT, request)
+            .await?;
+        match (reply.status, reply.version) {
+            (StatusCode::OK, Some(version)) => Ok(WriteResult::Written(version)),
+            (StatusCode::PRECONDITION_FAILED, _) => Ok(WriteResult::Conflict),
+            (status, _) => Err(failed("put", key, format!("status {status}"))),
+        }
+    }
+
+    /// Deletes an object.
+    ///
+    /// # Errors
+    /// Returns an error if the store did not answer.
+    pub async fn delete(&self, key: &str, purpose: StorePurpose) -> Result<(), StoreError> {
+        let request = self.request(
+            Method::DELETE,
+            &format!("/objects/{key}"),
+            None,
+            Bytes::new(),
+        );
+        let reply = self
+            .call("delete", key, purpose, CALL_TIMEOUT, request)
+            .await?;
+        match reply.status {
+            StatusCode::OK | StatusCode::NOT_FOUND => Ok(()),
+            status => Err(failed("delete", key, format!("status {status}"))),
+        }
+    }
+
+    /// Lists the objects whose key begins with `prefix`.
+    ///
+    /// # Errors
+    /// Returns an error if the store did not answer.
+    pub async fn list(
+        &self,
+        prefix: &str,
+        purpose: StorePurpose,
+    ) -> Result<Vec<ListedObject>, StoreError> {
+        self.read_json(
+            "list",
+            &format!("/objects?prefix={prefix}"),
+            purpose,
+            CALL_TIMEOUT,
+        )
+        .await
+    }
+
+    /// Waits for a change after `revision` to an object under `prefix`.
+    ///
+    /// # Errors
+    /// Returns an error if the store did not answer.
+    pub async fn watch(&self, prefix: &str, revision: u64) -> Result<WatchReply, StoreError> {
+        let path = format!("/watch?prefix={prefix}&after={revision}");
+        self.read_json("watch", &path, StorePurpose::Configuration, WATCH_TIMEOUT)
+            .await
+    }
+
+    /// Reads the VM list.
+    ///
+    /// # Errors
+    /// Returns an error if the platform did not answer.
+    pub async fn vms(&self) -> Result<VmList, StoreError> {
+        self.read_json("vms", "/vms", StorePurpose::Status, CALL_TIMEOUT)
+            .await
+    }
+
+    async fn read_json<Value>(
+        &self,
+        step: &'static str,
+        path: &str,
+        purpose: StorePurpose,
+        limit: Duration,
+    ) -> Result<Value, StoreError>
+    where
+        Value: DeserializeOwned,
+    {
+        let request = self.request(Method::GET, path, None, Bytes::new());
+        let reply = self.call(step, path, purpose, limit, request).await?;
+        if reply.status != StatusCode::OK {
+            return Err(failed(step, path, format!("status {}", reply.status)));
+        }
+        serde_json::from_slice(&reply.body).map_err(|cause| failed(step, path, cause.to_string()))
+    }
+
+    fn request(
+        &self,
+        method: Method,
+        path: &str,
+        expected: Option<u64>,
+        body: Bytes,
+    ) -> Request<Full<Bytes>> {
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, "platform");
+        if let Some(token) = lock(&self.token).as_ref() {
+            builder = builder.header(AUTHORIZATION, format!("Bearer {token}"));
+        }
+        if let Some(expected) = expected {
+            builder = builder.header(EXPECTED_HEADER, expected);
+        }
+        builder
+            .body(Full::new(body))
+            .expect("paths and tokens hold no control characters")
+    }
+
+    async fn call(
+        &self,
+        step: &'static str,
+        key: &str,
+        purpose: StorePurpose,
+        limit: Duration,
+        request: Request<Full<Bytes>>,
+    ) -> Result<StoreReply, StoreError> {
+        self.admit(purpose).await;
+        let exchange = self.exchange(request);
+        let result = self
+            .clock
+            .timeout(limit, exchange)
+            .await
+            .unwrap_or_else(|| Err("timeout".to_owned()));
+        let label = if result.is_ok() { "answered" } else { "failed" };
+        self.metrics.called_store(&purpose.to_string(), label);
+        result.map_err(|cause| failed(step, key, cause))
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<StoreReply, String> {
+        let pooled = self.take_idle();
+        let mut sender = match pooled {
+            Some(sender) => sender,
+            None => connect(self.settings.address, &self.spawner)
+                .await
+                .map_err(|cause| cause.to_string())?,
+        };
+        let response = sender
+            .send_request(request)
+            .await
+            .map_err(|cause| cause.to_string())?;
+        let status = response.status();
+        let version = response
+            .headers()
+            .get(VERSION_HEADER)
+            .and_then(|value| value.to_str().ok()?.parse().ok());
+        let body = read_body(response.into_body(), MOST_OBJECT, CALL_TIMEOUT)
+            .await
+            .map_err(|cause| cause.to_string())?;
+        let mut idle = lock(&self.idle);
+        if idle.len() < MOST_IDLE {
+            idle.push(sender);
+        }
+        Ok(StoreReply {
+            status,
+            version,
+            body,
+        })
+    }
+
+    fn take_idle(&self) -> Option<RequestSender> {
+        let mut idle = lock(&self.idle);
+        while let Some(sender) = idle.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    /// Waits until the budget lets a call of this purpose go.
+    async fn admit(&self, purpose: StorePurpose) {
+        loop {
+            {
+                let mut budget = lock(&self.budget);
+                let now = self.clock.now();
+                let most = self.settings.calls_per_second.max(1.0);
+                let elapsed = now.saturating_duration_since(budget.at).as_secs_f64();
+                budget.tokens = (budget.tokens + elapsed * most).min(most);
+                budget.at = now;
+                if budget.tokens >= 1.0 + purpose.reserve() * most {
+                    budget.tokens -= 1.0;
+                    return;
+                }
+                // A budget of a call a second must still let a status call through.
+                if budget.tokens >= most {
+                    budget.tokens = 0.0;
+                    return;
+                }
+            }
+            self.clock.sleep(BUDGET_PAUSE).await;
+        }
+    }
+}
+
+fn failed(step: &'static str, key: &str, cause: String) -> StoreError {
+    StoreError {
+        step,
+        key: key.to_owned(),
+        cause,
+    }
+}
+
+fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/task.rs
@@ -0,0 +1,50 @@
+//! The executor for traffic: a few threads that run the same tasks.
+
+use async_executor::Executor;
+use derive_more::Debug;
+use futures_lite::future::block_on;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+/// Spawns tasks onto the traffic threads.
+#[derive(Clone, Debug)]
+pub struct TaskSpawner {
+    #[debug(skip)]
+    executor: Arc<Executor<'static>>,
+}
+
+impl TaskSpawner {
+    /// Starts `threads` threads that run until `stop` is cancelled.
+    ///
+    /// # Errors
+    /// Returns the system's error if a thread can't be started.
+    pub fn start(
+        threads: usize,
+        stop: &CancellationToken,
+    ) -> std::io::Result<(Self, Vec<JoinHandle<()>>)> {
+        let executor = Arc::new(Executor::new());
+        let mut handles = Vec::new();
+        for index in 0..threads {
+            let executor = Arc::clone(&executor);
+            let stop = stop.clone();
+            let builder = std::thread::Builder::new().name(format!("traffic-{index}"));
+            let handle = builder.spawn(move || block_on(executor.run(stop.cancelled())))?;
+            handles.push(handle);
+        }
+        Ok((Self { executor }, handles))
+    }
+
+    /// Runs `task` to its end.
+    pub fn spawn<Task>(&self, task: Task)
+    where
+        Task: Future<Output = ()> + Send + 'static,
+    {
+        self.executor.spawn(task).detach();
+    }
+
+    /// The executor, for adapters that take one.
+    pub fn executor(&self) -> &Arc<Executor<'static>> {
+        &self.executor
+    }
+}
--- /dev/null
+++ b/crates/model/src/ini.rs
@@ -0,0 +1,207 @@
+//! INI text as sections with line numbers, so that every fault can be reported
+//! with its file, line, section and key.
+
+use derive_more::Display;
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+/// One fault in an INI file.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[display("{file}:{line}: [{section}] {key}: {problem}")]
+pub struct IniFault {
+    /// The file as named by the operator.
+    pub file: String,
+    /// The line, from 1.
+    pub line: usize,
+    /// The section's title, such as `server portal-1-a`.
+    pub section: String,
+    /// The key, or `-` where the section itself is at fault.
+    pub key: String,
+    /// What is wrong and what is allowed.
+    pub problem: String,
+}
+
+impl std::error::Error for IniFault {}
+
+/// A key's value and its line.
+#[derive(Clone, Debug)]
+struct IniValue {
+    line: usize,
+    text: String,
+    used: bool,
+}
+
+/// One section; values are taken out by key, and what is left over is a fault.
+#[derive(Clone, Debug)]
+pub struct IniSection {
+    file: String,
+    line: usize,
+    title: String,
+    values: BTreeMap<String, IniValue>,
+}
+
+/// Splits `text` into its sections, adding each fault to `faults`.
+pub fn parse(file: &str, text: &str, faults: &mut Vec<IniFault>) -> Vec<IniSection> {
+    let mut sections: Vec<IniSection> = Vec::new();
+    let mut parser = ini_core::Parser::new(text).auto_trim(true);
+    loop {
+        let line = parser.line() as usize + 1;
+        let Some(item) = parser.next() else {
+            return sections;
+        };
+        match item {
+            ini_core::Item::Section(title) => {
+                let section = IniSection::new(file, line, title.trim());
+                if let Some(first) = sections.iter().find(|other| other.title == section.title) {
+                    let problem = format!("section is repeated, first at line {}", first.line);
+                    faults.push(section.fault("-", line, &problem));
+                }
+                sections.push(section);
+            }
+            ini_core::Item::Property(key, value) => {
+                let Some(section) = sections.last_mut() else {
+                    let section = IniSection::new(file, line, "");
+                    faults.push(section.fault(key, line, "key stands before any section"));
+                    continue;
+                };
+                section.add(line, key.trim(), value.unwrap_or_default().trim(), faults);
+            }
+            ini_core::Item::Error(text) => {
+                let section = IniSection::new(file, line, "");
+                let problem = format!("not a section, a key or a comment: {text}");
+                faults.push(section.fault("-", line, &problem));
+            }
+            ini_core::Item::Comment(_) | ini_core::Item::Blank | ini_core::Item::SectionEnd => {}
+        }
+    }
+}
+
+impl IniSection {
+    fn new(file: &str, line: usize, title: &str) -> Self {
+        Self {
+            file: file.to_owned(),
+            line,
+            title: title.to_owned(),
+            values: BTreeMap::new(),
+        }
+    }
+
+    fn add(&mut self, line: usize, key: &str, text: &str, faults: &mut Vec<IniFault>) {
+        if let Some(first) = self.values.get(key) {
+            let problem = format!("key is repeated, first at line {}", first.line);
+            faults.push(self.fault(key, line, &problem));
+            return;
+        }
+        let value = IniValue {
+            line,
+            text: text.to_owned(),
+            used: false,
+        };
+        self.values.insert(key.to_owned(), value);
+    }
+
+    /// The kind and the name of a title such as `server portal-1-a`.
+    pub fn title(&self) -> (&str, &str) {
+        match self.title.split_once(' ') {
+            Some((kind, name)) => (kind, name.trim()),
+            None => (&self.title, ""),
+        }
+    }
+
+    /// A fault in this section at `line`.
+    fn fault(&self, key: &str, line: usize, problem: &str) -> IniFault {
+        IniFault {
+            file: self.file.clone(),
+            line,
+            section: self.title.clone(),
+            key: key.to_owned(),
+            problem: problem.to_owned(),
+        }
+    }
+
+    /// A fault at `key`, or at the section's title where the key is missing.
+    pub fn fault_at(&self, key: &str, problem: &str) -> IniFault {
+        let line = self.values.get(key).map_or(self.line, |value| value.line);
+        self.fault(key, line, problem)
+    }
+
+    /// Takes an optional value; `allowed` says in a fault what may stand here.
+    pub fn optional<Value>(
+        &mut self,
+        key: &str,
+        allowed: &str,
+        faults: &mut Vec<IniFault>,
+    ) -> Option<Value>
+    where
+        Value: FromStr,
+    {
+        let value = self.values.get_mut(key)?;
+        value.used = true;
+        let Ok(parsed) = value.text.parse() else {
+            let problem = format!("`{}` is not allowed; allowed: {allowed}", value.text);
+            faults.push(self.fault_at(key, &problem));
+            return None;
+        };
+        Some(parsed)
+    }
+
+    /// Takes a value that must be there.
+    pub fn required<Value>(
+        &mut self,
+        key: &str,
+        allowed: &str,
+        faults: &mut Vec<IniFault>,
+    ) -> Option<Value>
+    where
+        Value: FromStr,
+    {
+        if !self.values.contains_key(key) {
+            let problem = format!("key is missing; allowed: {allowed}");
+            faults.push(self.fault_at(key, &problem));
+            return None;
+        }
+        self.optional(key, allowed, faults)
+    }
+
+    /// Takes an optional number that must lie within `range`.
+    pub fn number_within(
+        &mut self,
+        key: &str,
+        range: std::ops::RangeInclusive<f64>,
+        faults: &mut Vec<IniFault>,
+    ) -> Option<f64> {
+        let allowed = format!("a number from {} to {}", range.start(), range.end());
+        let number: f64 = self.optional(key, &allowed, faults)?;
+        if range.contains(&number) {
+            return Some(number);
+        }
+        let problem = format!("{number} is out of range; allowed: {allowed}");
+        faults.push(self.fault_at(key, &problem));
+        None
+    }
+
+    /// Takes an optional switch, `on` or `off`.
+    pub fn switch(&mut self, key: &str, faults: &mut Vec<IniFault>) -> Option<bool> {
+        let text: String = self.optional(key, "on, off", faults)?;
+        match text.as_str() {
+            "on" => Some(true),
+            "off" => Some(false),
+            other => {
+                let problem = format!("`{other}` is not allowed; allowed: on, off");
+                faults.push(self.fault_at(key, &problem));
+                None
+            }
+        }
+    }
+
+    /// Reports every key that nothing took, naming those that are `known`.
+    pub fn finish(self, known: &str, faults: &mut Vec<IniFault>) {
+        for (key, value) in &self.values {
+            if value.used {
+                continue;
+            }
+            let problem = format!("unknown key; allowed: {known}");
+            faults.push(self.fault(key, value.line, &problem));
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,30 @@
+//! The vocabulary of the query tier: identifiers, the inventory and rules that
+//! operators write, the layout of an index snapshot, coverage and outcomes.
+//!
+//! Everything here is plain data with checks. Nothing in this package does I/O
+//! or reads a clock, so every daemon that is given the same text arrives at the
+//! same value.
+
+pub mod configuration;
+pub mod coverage;
+pub mod grouping;
+pub mod id;
+pub mod ini;
+pub mod inventory;
+pub mod layout;
+pub mod outcome;
+pub mod rank;
+pub mod rules;
+
+pub use configuration::{CheckedConfiguration, HeadObject, PartReference};
+pub use coverage::{CoverageCount, CoverageReport};
+pub use grouping::{GroupId, GroupTable, ServerGroup};
+pub use id::{
+    CallerName, FailureDomain, Generation, InstanceName, RequestId, ServerName, ServiceName,
+    ShardId, SnapshotId, VmName,
+};
+pub use inventory::{BackendServer, MergeKind, ServiceEntry, TierInventory};
+pub use layout::{LayoutError, ServiceLayout, ShardPlace, SnapshotLayout};
+pub use outcome::{AnswerOutcome, RefusalReason};
+pub use rank::{PerRank, RequestRank};
+pub use rules::{CanaryMode, PolicySwitches, RankRule, RequestRule, TierRules};
--- /dev/null
+++ b/crates/model/src/rank.rs
@@ -0,0 +1,55 @@
+//! The three ranks of work.
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use std::ops::{Index, IndexMut};
+
+/// How urgent a request is. The order of the variants is the order of service.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum RequestRank {
+    /// Work that someone waits for with a deadline of their own.
+    #[display("urgent")]
+    Urgent,
+    /// Everyday work.
+    #[display("normal")]
+    Normal,
+    /// Work that can wait.
+    #[display("bulk")]
+    Bulk,
+}
+
+impl RequestRank {
+    /// All ranks, most urgent first.
+    pub const ALL: [Self; 3] = [Self::Urgent, Self::Normal, Self::Bulk];
+
+    /// Parses the name used in rules and headers.
+    pub fn parse(text: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|rank| rank.to_string() == text)
+    }
+
+    /// The less urgent of two ranks.
+    pub fn lower_of(self, other: Self) -> Self {
+        self.max(other)
+    }
+}
+
+/// One value for each rank.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PerRank<Value>(pub [Value; 3]);
+
+impl<Value> Index<RequestRank> for PerRank<Value> {
+    type Output = Value;
+
+    fn index(&self, rank: RequestRank) -> &Value {
+        &self.0[rank as usize]
+    }
+}
+
+impl<Value> IndexMut<RequestRank> for PerRank<Value> {
+    fn index_mut(&mut self, rank: RequestRank) -> &mut Value {
+        &mut self.0[rank as usize]
+    }
+}
--- /dev/null
+++ b/crates/model/src/rules.rs
@@ -0,0 +1,263 @@
+//! The rules: how requests are ranked, what each rank is promised, and which
+//! decisions are switched on.
+
+use crate::ini::{IniFault, IniSection};
+use crate::{CallerName, PerRank, RequestRank, ServiceName};
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+use std::time::Duration;
+
+const RANK_KEYS: &str = "share, deadline-ms, max-refused";
+const RULE_KEYS: &str = "service, caller, kind, rank, idempotent, canary";
+const POLICY_KEYS: &str = "ranked-queues, early-refusal, hedging, hedge-budget, retry-budget, \
+                           newest-snapshot, group-size, seats, claim-retention-s, preempt";
+const DEFAULT_SHARE: [f64; 3] = [0.5, 0.3, 0.1];
+const DEFAULT_DEADLINE: [Duration; 3] = [
+    Duration::from_secs(1),
+    Duration::from_secs(2),
+    Duration::from_secs(10),
+];
+
+/// When a fan-out is tried on one backend server before the rest are asked.
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CanaryMode {
+    /// For every content not lately seen to succeed.
+    #[display("always")]
+    Always,
+    /// Only for content that a crash has made suspect.
+    #[display("suspects")]
+    Suspects,
+    /// Not at all.
+    #[display("never")]
+    Never,
+}
+
+impl CanaryMode {
+    fn parse(text: &str) -> Option<Self> {
+        [Self::Always, Self::Suspects, Self::Never]
+            .into_iter()
+            .find(|mode| mode.to_string() == text)
+    }
+}
+
+/// What one rank is promised.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RankRule {
+    /// The guaranteed part of each backend server's time, 0 to 1.
+    pub share: f64,
+    /// The deadline of a request that names none.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub deadline: Duration,
+    /// The highest part of requests that should be refused, 0 to 1.
+    pub max_refused: f64,
+}
+
+/// One rule; the first whose conditions all hold decides.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RequestRule {
+    /// The rule's name, for `explain` and logs.
+    pub name: String,
+    /// Condition: the service asked.
+    pub service: Option<ServiceName>,
+    /// Condition: who asks.
+    pub caller: Option<CallerName>,
+    /// Condition: the request's `camphorway-kind` header.
+    pub kind: Option<String>,
+    /// The rank given.
+    pub rank: RequestRank,
+    /// Whether running the request twice does no harm.
+    pub idempotent: bool,
+    /// When a canary goes ahead of the fan-out.
+    pub canary: CanaryMode,
+}
+
+/// Which decisions are switched on, and their budgets.
+#[serde_as]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct PolicySwitches {
+    /// Queues are ordered by rank, kind and deadline rather than by arrival.
+    pub ranked_queues: bool,
+    /// The entry refuses what the reported waits would make late.
+    pub early_refusal: bool,
+    /// A slow call is repeated on another replica.
+    pub hedging: bool,
+    /// Hedged calls for each first call, 0 to 1.
+    pub hedge_budget: f64,
+    /// Retried calls for each first call, 0 to 1.
+    pub retry_budget: f64,
+    /// Always query the newest snapshot, whatever its coverage.
+    pub newest_snapshot: bool,
+    /// A running bulk call may be cancelled for an urgent one.
+    pub preempt: bool,
+    /// Most backend servers in one group.
+    pub group_size: u32,
+    /// Daemons that hold a group at once.
+    pub seats: u32,
+    /// How long records of requests that run at most once are kept.
+    #[serde_as(as = "serde_with::DurationSeconds<u64>")]
+    pub claim_retention: Duration,
+}
+
+impl Default for PolicySwitches {
+    fn default() -> Self {
+        Self {
+            ranked_queues: true,
+            early_refusal: true,
+            hedging: true,
+            hedge_budget: 0.05,
+            retry_budget: 0.1,
+            newest_snapshot: false,
+            preempt: true,
+            group_size: 36,
+            seats: 1,
+            claim_retention: Duration::from_hours(24),
+        }
+    }
+}
+
+/// All rules.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TierRules {
+    /// The promises to each rank.
+    pub ranks: PerRank<RankRule>,
+    /// The rules in the order of the file.
+    pub requests: Vec<RequestRule>,
+    /// The switches.
+    pub policy: PolicySwitches,
+}
+
+impl Default for TierRules {
+    fn default() -> Self {
+        let rule = |rank: usize| RankRule {
+            share: DEFAULT_SHARE[rank],
+            deadline: DEFAULT_DEADLINE[rank],
+            max_refused: 1.0,
+        };
+        Self {
+            ranks: PerRank([rule(0), rule(1), rule(2)]),
+            requests: Vec::new(),
+            policy: PolicySwitches::default(),
+        }
+    }
+}
+
+impl TierRules {
+    /// The rule for a request, or none, where the defaults apply: normal rank,
+    /// idempotent, canary for suspects.
+    pub fn find(
+        &self,
+        service: &ServiceName,
+        caller: &CallerName,
+        kind: Option<&str>,
+    ) -> Option<&RequestRule> {
+        self.requests.iter().find(|rule| {
+            rule.service.as_ref().is_none_or(|name| name == service)
+                && rule.caller.as_ref().is_none_or(|name| name == caller)
+                && rule.kind.as_deref().is_none_or(|name| Some(name) == kind)
+        })
+    }
+
+    /// Takes a `[rank NAME]` section.
+    pub(crate) fn set_rank(
+        &mut self,
+        name: &str,
+        mut section: IniSection,
+        faults: &mut Vec<IniFault>,
+    ) {
+        let Some(rank) = RequestRank::parse(name) else {
+            faults.push(section.fault_at("-", "unknown rank; allowed: urgent, normal, bulk"));
+            return;
+        };
+        let rule = &mut self.ranks[rank];
+        if let Some(share) = section.number_within("share", 0.0..=1.0, faults) {
+            rule.share = share;
+        }
+        if let Some(deadline) = section.number_within("deadline-ms", 1.0..=600_000.0, faults) {
+            rule.deadline = Duration::from_millis(deadline as u64);
+        }
+        if let Some(refused) = section.number_within("max-refused", 0.0..=1.0, faults) {
+            rule.max_refused = refused;
+        }
+        section.finish(RANK_KEYS, faults);
+    }
+
+    /// Takes a `[rule NAME]` section.
+    pub(crate) fn add_request(
+        &mut self,
+        name: &str,
+        mut section: IniSection,
+        faults: &mut Vec<IniFault>,
+    ) {
+        let service: Option<String> = section.optional("service", "a service's name", faults);
+        let caller: Option<String> = section.optional("caller", "a caller's name", faults);
+        let kind = section.optional("kind", "a text", faults);
+        let rank: Option<String> = section.required("rank", "urgent, normal, bulk", faults);
+        let rank = rank.and_then(|text| {
+            let rank = RequestRank::parse(&text);
+            if rank.is_none() {
+                let problem = format!("`{text}` is not allowed; allowed: urgent, normal, bulk");
+                faults.push(section.fault_at("rank", &problem));
+            }
+            rank
+        });
+        let idempotent = section.switch("idempotent", faults).unwrap_or(true);
+        let canary: Option<String> = section.optional("canary", "always, suspects, never", faults);
+        let canary = canary.map_or(Some(CanaryMode::Suspects), |text| CanaryMode::parse(&text));
+        if canary.is_none() {
+            faults.push(section.fault_at("canary", "allowed: always, suspects, never"));
+        }
+        section.finish(RULE_KEYS, faults);
+        let (Some(rank), Some(canary)) = (rank, canary) else {
+            return;
+        };
+        self.requests.push(RequestRule {
+            name: name.to_owned(),
+            service: service.as_deref().map(ServiceName::new),
+            caller: caller.as_deref().map(CallerName::new),
+            kind,
+            rank,
+            idempotent,
+            canary,
+        });
+    }
+
+    /// Takes the `[policy]` section.
+    pub(crate) fn set_policy(&mut self, mut section: IniSection, faults: &mut Vec<IniFault>) {
+        let policy = &mut self.policy;
+        let switches = [
+            ("ranked-queues", &mut policy.ranked_queues),
+            ("early-refusal", &mut policy.early_refusal),
+            ("hedging", &mut policy.hedging),
+            ("newest-snapshot", &mut policy.newest_snapshot),
+            ("preempt", &mut policy.preempt),
+        ];
+        for (key, target) in switches {
+            if let Some(value) = section.switch(key, faults) {
+                *target = value;
+            }
+        }
+        let budgets = [
+            ("hedge-budget", &mut policy.hedge_budget),
+            ("retry-budget", &mut policy.retry_budget),
+        ];
+        for (key, target) in budgets {
+            if let Some(value) = section.number_within(key, 0.0..=1.0, faults) {
+                *target = value;
+            }
+        }
+        if let Some(size) = section.number_within("group-size", 1.0..=1_024.0, faults) {
+            policy.group_size = size as u32;
+        }
+        if let Some(seats) = section.number_within("seats", 1.0..=64.0, faults) {
+            policy.seats = seats as u32;
+        }
+        if let Some(seconds) = section.number_within("claim-retention-s", 60.0..=604_800.0, faults)
+        {
+            policy.claim_retention = Duration::from_secs(seconds as u64);
+        }
+        section.finish(POLICY_KEYS, faults);
+    }
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line.
--- /dev/null
+++ b/crates/policy/src/claim.rs
@@ -0,0 +1,180 @@
+//! Claims: the record in the platform's store by which a request that must not
+//! run twice is run by one daemon only.
+//!
+//! An object holds the claims of one bucket of request ids, issued within one
+//! minute. Whoever's claim stands first in the object, by conditional update,
+//! may dispatch, once. There is no lease: a claim never lapses, so its owner
+//! may be paused for any time without harm. Afterwards the claim holds the
+//! outcome and the answer for a caller that sends again.
+
+use camphorway_model::{AnswerOutcome, RequestId};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+const BUCKETS: u64 = 8;
+const MINUTE_MS: u64 = 60_000;
+const FUTURE_SKEW: Duration = Duration::from_secs(30);
+/// Answers above this size are not kept, so that an object stays small.
+pub const LARGEST_KEPT_ANSWER: usize = 2_048;
+
+/// A claim's progress.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case", tag = "state")]
+pub enum ClaimState {
+    /// Owned; it may have been dispatched.
+    Claimed,
+    /// The owner gave up before dispatch; the id may be claimed anew.
+    Void,
+    /// The request ended.
+    Done {
+        /// How it ended.
+        outcome: AnswerOutcome,
+        /// The answer's body, if it was small enough to keep.
+        answer: Option<String>,
+    },
+}
+
+/// One claim.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClaimEntry {
+    /// The mark of the attempt that owns the claim; unique for each attempt.
+    pub owner: String,
+    /// Hash of service and body.
+    pub content: u64,
+    /// Progress.
+    #[serde(flatten)]
+    pub state: ClaimState,
+}
+
+/// The claims of one bucket and minute.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimObject {
+    /// Claims by request id.
+    pub claims: BTreeMap<RequestId, ClaimEntry>,
+}
+
+/// What an attempt may do, by the claim that stands in the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ClaimDecision {
+    /// The claim is this attempt's own: dispatch, once.
+    Own,
+    /// The id was used with other content.
+    Conflict,
+    /// Another attempt owns the id and its end is not known.
+    InProgress,
+    /// The request ended; here is what is kept.
+    Ended {
+        /// How it ended.
+        outcome: AnswerOutcome,
+        /// The answer's body, if kept.
+        answer: Option<String>,
+    },
+}
+
+/// Whether an id's time of issue lets it be claimed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ClaimWindow {
+    /// It may be claimed.
+    Open,
+    /// Its record may be gone: it must be refused, and not as `not-run`.
+    Expired,
+    /// It was issued in the future beyond the allowed skew.
+    Future,
+}
+
+impl ClaimWindow {
+    /// Judges an id at `now_ms` since 1970.
+    pub fn of(id: &RequestId, now_ms: u64, retention: Duration) -> Self {
+        let issued = id.issued_at_ms();
+        if issued > now_ms + FUTURE_SKEW.as_millis() as u64 {
+            return Self::Future;
+        }
+        if now_ms.saturating_sub(issued) > retention.as_millis() as u64 {
+            return Self::Expired;
+        }
+        Self::Open
+    }
+}
+
+/// The key of the object that holds the claim of `id`.
+pub fn object_key(id: &RequestId) -> String {
+    let minute = id.issued_at_ms() / MINUTE_MS;
+    let bucket = xxh3_64(id.as_bytes()) % BUCKETS;
+    format!("claims/{minute:010}/{bucket}")
+}
+
+/// The minute, since 1970, in the key of a claim object.
+pub fn minute_of_key(key: &str) -> Option<u64> {
+    key.strip_prefix("claims/")?.split('/').next()?.parse().ok()
+}
+
+impl ClaimObject {
+    /// Puts a claim for `id` unless one stands already.
+    ///
+    /// A void claim may be replaced, but only together with its content.
+    pub fn claim(&mut self, id: RequestId, owner: &str, content: u64) {
+        let replaceable = self
+            .claims
+            .get(&id)
+            .is_none_or(|entry| entry.state == ClaimState::Void);
+        if replaceable {
+            let entry = ClaimEntry {
+                owner: owner.to_owned(),
+                content,
+                state: ClaimState::Claimed,
+            };
+            self.claims.insert(id, entry);
+        }
+    }
+
+    /// What the attempt called `owner` may do, by what stands here.
+    ///
+    /// None if no claim stands, so that it must be written first.
+    pub fn decide(&self, id: &RequestId, owner: &str, content: u64) -> Option<ClaimDecision> {
+        let entry = self.claims.get(id)?;
+        if entry.content != content && entry.state != ClaimState::Void {
+            return Some(ClaimDecision::Conflict);
+        }
+        match &entry.state {
+            ClaimState::Void => None,
+            ClaimState::Claimed if entry.owner == owner => Some(ClaimDecision::Own),
+            ClaimState::Claimed => Some(ClaimDecision::InProgress),
+            ClaimState::Done { outcome, answer } => Some(ClaimDecision::Ended {
+                outcome: *outcome,
+                answer: answer.clone(),
+            }),
+        }
+    }
+
+    /// Sets the end of a claim if `owner` holds it; false if it doesn't.
+    pub fn end(&mut self, id: &RequestId, owner: &str, state: ClaimState) -> bool {
+        match self.claims.get_mut(id) {
+            Some(entry) if entry.owner == owner && entry.state == ClaimState::Claimed => {
+                entry.state = state;
+                true
+            }
+            Some(_) | None => false,
+        }
+    }
+
+    /// Makes sure that the attempt called `owner`, which gave up before
+    /// dispatch, holds no claim now or later.
+    ///
+    /// The entry is written even where none stands: a write of the claim whose
+    /// answer was lost may still be under way, and then meets a newer version.
+    pub fn void(&mut self, id: RequestId, owner: &str, content: u64) -> bool {
+        let entry = self.claims.entry(id).or_insert_with(|| ClaimEntry {
+            owner: owner.to_owned(),
+            content,
+            state: ClaimState::Claimed,
+        });
+        if entry.owner != owner || entry.state != ClaimState::Claimed {
+            return false;
+        }
+        entry.state = ClaimState::Void;
+        true
+    }
+}
--- /dev/null
+++ b/crates/policy/src/invariant.rs
@@ -0,0 +1,31 @@
+//! Checks that stay on in production. A breach is counted and reported through
+//! a hook; in tests the hook panics.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+static BREACHES: AtomicU64 = AtomicU64::new(0);
+
+/// The number of breaches since the process started.
+pub fn breaches() -> u64 {
+    BREACHES.load(Ordering::Relaxed)
+}
+
+/// Counts a breach of the invariant called `name`.
+///
+/// # Panics
+/// Panics in builds with debug assertions, so that tests stop at the breach.
+pub fn breach(name: &str, detail: &str) {
+    BREACHES.fetch_add(1, Ordering::Relaxed);
+    debug_assert!(false, "invariant {name} broken: {detail}");
+    eprintln!("event=invariant-broken name={name} detail={detail:?}");
+}
+
+/// Checks that `holds`, and counts a breach of `name` if it doesn't.
+pub fn check<Detail>(holds: bool, name: &str, detail: Detail)
+where
+    Detail: FnOnce() -> String,
+{
+    if !holds {
+        breach(name, &detail());
+    }
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,26 @@
+//! The decisions of the query tier, free of I/O.
+//!
+//! Each type here is a state machine that is told what happened and when, and
+//! answers what to do. Nothing sleeps, sends or reads a clock: `now` is an
+//! argument. That lets a test drive years of traffic in a second and replay
+//! any fault from its seed.
+
+pub mod admission;
+pub mod budget;
+pub mod choice;
+pub mod claim;
+pub mod dispatch;
+pub mod gate;
+pub mod invariant;
+pub mod latency;
+pub mod quarantine;
+pub mod queue;
+
+pub use admission::{AdmissionDecision, EntryAdmission};
+pub use budget::RatioBudget;
+pub use claim::{ClaimDecision, ClaimEntry, ClaimObject, ClaimState, ClaimWindow};
+pub use dispatch::{DispatchLedger, NotRunProof, UnsentToken};
+pub use gate::{CallEnd, GateEvent, GateSettings, ServerGate, ServerState};
+pub use latency::LatencyWindow;
+pub use quarantine::{ContentHash, ContentVerdict, CrashReport, QuarantineTable};
+pub use queue::{CallId, KindHash, RankedQueue, WaitingCall};
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,230 @@
+//! The queue in front of one backend server.
+//!
+//! Across ranks: a rank that has had less than its guaranteed share of recent
+//! service goes first, the most urgent such rank before the others; when every
+//! waiting rank has had its share, order is strictly by rank. Within a rank:
+//! the kind (service and caller) with the least service so far, so that a kind
+//! that floods delays only itself. Within a kind: the earliest deadline.
+
+use camphorway_model::{PerRank, RequestRank};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+const USAGE_MEMORY: Duration = Duration::from_secs(1);
+
+/// Names a call within one queue.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct CallId(pub u64);
+
+/// Hash of service and caller.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct KindHash(pub u64);
+
+/// A call that waits for a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct WaitingCall {
+    /// The call.
+    pub id: CallId,
+    /// Its rank.
+    pub rank: RequestRank,
+    /// Its kind.
+    pub kind: KindHash,
+    /// When its answer is worthless.
+    pub deadline: Instant,
+    /// Whether it may be cancelled for a more urgent call while it runs.
+    pub preemptible: bool,
+    /// Whether nothing else may run on the server beside it.
+    pub exclusive: bool,
+}
+
+#[derive(Debug, Default)]
+struct KindQueue {
+    served: f64,
+    calls: BTreeMap<(Instant, CallId), WaitingCall>,
+}
+
+#[derive(Debug, Default)]
+struct RankQueue {
+    /// The service of the kind served last; a kind that returns starts from here.
+    virtual_time: f64,
+    kinds: HashMap<KindHash, KindQueue>,
+    len: usize,
+}
+
+/// Waiting calls in order of service.
+#[derive(Debug)]
+pub struct RankedQueue {
+    ranked: bool,
+    shares: PerRank<f64>,
+    ranks: PerRank<RankQueue>,
+    usage: PerRank<f64>,
+    usage_at: Option<Instant>,
+    index: HashMap<CallId, (RequestRank, KindHash, Instant)>,
+    /// Arrival order, for queues that are not ranked.
+    arrivals: BTreeMap<u64, CallId>,
+    arrival: u64,
+    arrival_of: HashMap<CallId, u64>,
+}
+
+impl RankedQueue {
+    /// An empty queue; `ranked` false serves in order of arrival.
+    pub fn new(ranked: bool, shares: PerRank<f64>) -> Self {
+        Self {
+            ranked,
+            shares,
+            ranks: PerRank::default(),
+            usage: PerRank::default(),
+            usage_at: None,
+            index: HashMap::new(),
+            arrivals: BTreeMap::new(),
+            arrival: 0,
+            arrival_of: HashMap::new(),
+        }
+    }
+
+    /// Changes the rules for calls popped from now on.
+    pub fn set_rules(&mut self, ranked: bool, shares: PerRank<f64>) {
+        self.ranked = ranked;
+        self.shares = shares;
+    }
+
+    /// Number of waiting calls.
+    pub fn len(&self) -> usize {
+        self.index.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.index.is_empty()
+    }
+
+    /// Number of waiting calls of one rank.
+    pub fn len_of(&self, rank: RequestRank) -> usize {
+        self.ranks[rank].len
+    }
+
+    /// Adds a call.
+    pub fn push(&mut self, call: WaitingCall) {
+        let rank = &mut self.ranks[call.rank];
+        let floor = rank.virtual_time;
+        let kind = rank.kinds.entry(call.kind).or_default();
+        if kind.calls.is_empty() {
+            kind.served = kind.served.max(floor);
+        }
+        kind.calls.insert((call.deadline, call.id), call);
+        rank.len += 1;
+        self.index
+            .insert(call.id, (call.rank, call.kind, call.deadline));
+        self.arrivals.insert(self.arrival, call.id);
+        self.arrival_of.insert(call.id, self.arrival);
+        self.arrival += 1;
+    }
+
+    /// Takes a call out of turn.
+    pub fn remove(&mut self, id: CallId) -> Option<WaitingCall> {
+        let (rank, kind, deadline) = self.index.remove(&id)?;
+        if let Some(arrival) = self.arrival_of.remove(&id) {
+            self.arrivals.remove(&arrival);
+        }
+        let rank = &mut self.ranks[rank];
+        let queue = rank.kinds.get_mut(&kind)?;
+        let call = queue.calls.remove(&(deadline, id))?;
+        rank.len -= 1;
+        if queue.calls.is_empty() && queue.served <= rank.virtual_time {
+            rank.kinds.remove(&kind);
+        }
+        Some(call)
+    }
+
+    /// Takes the next call and charges `cost` of server time to its rank and kind.
+    pub fn pop(&mut self, now: Instant, cost: Duration) -> Option<WaitingCall> {
+        let id = if self.ranked {
+            self.next_ranked(now)?
+        } else {
+            *self.arrivals.values().next()?
+        };
+        let call = self.remove(id)?;
+        self.charge(&call, now, cost);
+        Some(call)
+    }
+
+    /// Takes the call that is worth least, if it is worth less than a call of `rank`.
+    pub fn evict_below(&mut self, rank: RequestRank) -> Option<WaitingCall> {
+        let victim = RequestRank::ALL
+            .into_iter()
+            .rev()
+            .take_while(|other| *other > rank)
+            .find(|other| self.ranks[*other].len > 0)?;
+        self.evict_from(victim)
+    }
+
+    /// Takes the latest call of the longest kind in `rank`.
+    pub fn evict_from(&mut self, rank: RequestRank) -> Option<WaitingCall> {
+        let kinds = &self.ranks[rank].kinds;
+        let longest = kinds.values().max_by_key(|kind| kind.calls.len())?;
+        let (&(_, id), _) = longest.calls.last_key_value()?;
+        self.remove(id)
+    }
+
+    /// All calls whose deadline is before `until`.
+    pub fn expire(&mut self, until: Instant) -> Vec<WaitingCall> {
+        let expired: Vec<CallId> = self
+            .index
+            .iter()
+            .filter(|(_, (_, _, deadline))| *deadline <= until)
+            .map(|(id, _)| *id)
+            .collect();
+        expired
+            .into_iter()
+            .filter_map(|id| self.remove(id))
+            .collect()
+    }
+
+    fn next_ranked(&mut self, now: Instant) -> Option<CallId> {
+        self.decay(now);
+        let total: f64 = self.usage.0.iter().sum();
+        let waiting = || {
+            RequestRank::ALL
+                .into_iter()
+                .filter(|rank| self.ranks[*rank].len > 0)
+        };
+        let below_share = waiting().find(|rank| self.usage[*rank] < self.shares[*rank] * total);
+        let rank = below_share.or_else(|| waiting().next())?;
+        let kinds = &self.ranks[rank].kinds;
+        let next = kinds
+            .iter()
+            .filter(|(_, kind)| !kind.calls.is_empty())
+            .min_by(|(left_hash, left), (right_hash, right)| {
+                left.served
+                    .total_cmp(&right.served)
+                    .then(left_hash.cmp(right_hash))
+            })?;
+        next.1.calls.first_key_value().map(|(&(_, id), _)| id)
+    }
+
+    fn charge(&mut self, call: &WaitingCall, now: Instant, cost: Duration) {
+        self.decay(now);
+        self.usage[call.rank] += cost.as_secs_f64();
+        let rank = &mut self.ranks[call.rank];
+        let floor = rank.virtual_time;
+        let kind = rank.kinds.entry(call.kind).or_default();
+        let start = kind.served.max(floor);
+        kind.served = start + cost.as_secs_f64();
+        rank.virtual_time = start;
+        // Kinds without calls are kept only while they are ahead of the others.
+        rank.kinds
+            .retain(|_, kind| !kind.calls.is_empty() || kind.served > start);
+    }
+
+    fn decay(&mut self, now: Instant) {
+        let Some(before) = self.usage_at.replace(now) else {
+            return;
+        };
+        let elapsed = now.saturating_duration_since(before).as_secs_f64();
+        let factor = (-elapsed / USAGE_MEMORY.as_secs_f64()).exp();
+        for usage in &mut self.usage.0 {
+            *usage *= factor;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/examples/servers.rs
@@ -0,0 +1,65 @@
+//! Runs stand-ins of backend servers until standard input closes.
+
+use camphorway_model::CheckedConfiguration;
+use camphorway_standins::http::StandinExecutor;
+use camphorway_standins::lifetime::end_of_input;
+use camphorway_standins::server::ServerSwitches;
+use camphorway_standins::server_control::ServerFarm;
+use clap::Parser;
+use futures_lite::FutureExt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Backend servers of an inventory.
+#[derive(Debug, Parser)]
+struct ServersCommand {
+    /// Where the control port listens.
+    #[arg(long)]
+    control: SocketAddr,
+    /// The inventory.
+    #[arg(long)]
+    inventory: PathBuf,
+    /// Only these servers, by name.
+    #[arg(long, value_delimiter = ',')]
+    only: Vec<String>,
+    /// Snapshots held, joined by `+`.
+    #[arg(long, default_value = "1")]
+    snapshots: String,
+    /// Median time of a call in microseconds.
+    #[arg(long, default_value_t = 2_000)]
+    delay_us: u64,
+    /// Seed for delays.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+}
+
+fn main() -> io::Result<()> {
+    let command = ServersCommand::parse();
+    let text = std::fs::read_to_string(&command.inventory)?;
+    let configuration = CheckedConfiguration::parse(&[("inventory", &text)])
+        .map_err(|faults| io::Error::other(format!("{faults:?}")))?;
+    let switches = ServerSwitches {
+        delay: Duration::from_micros(command.delay_us),
+        snapshots: command
+            .snapshots
+            .split('+')
+            .filter_map(|text| text.parse().ok())
+            .collect(),
+        ..ServerSwitches::default()
+    };
+    let executor = StandinExecutor::default();
+    let seed = command.seed.wrapping_add(u64::from(std::process::id()));
+    let farm = ServerFarm::new(&configuration, &switches, &executor, seed, |server| {
+        command.only.is_empty() || command.only.iter().any(|name| name == server.name.as_str())
+    });
+    async_io::block_on(executor.run(async {
+        let control = async_net::TcpListener::bind(command.control).await?;
+        let ended = async {
+            end_of_input().await;
+            Ok(())
+        };
+        farm.run(control).or(ended).await
+    }))
+}
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,691 @@
+//! A small fleet of real processes on loopback: platform, backend servers and
+//! daemons, each ended by its id when the fleet is dropped.
+
+use crate::http::{self, HttpReply};
+use crate::load::{LoadStream, fresh_id, query_request};
+use crate::shape::FleetShape;
+use crate::{certificates, shape};
+use camphorway_model::{CheckedConfiguration, HeadObject, PartReference};
+use hyper::Method;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+use std::fs::{self, File};
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Ports are taken from below the range that the system gives to connections.
+const FIRST_PORT: u32 = 10_000;
+const PORT_COUNT: u32 = 22_000;
+const START_LIMIT: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(20);
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
+
+/// Process ids that this process started and that may still run.
+static STARTED: Mutex<Vec<Pid>> = Mutex::new(Vec::new());
+
+/// Kills whatever fleets of this process still run; for signal handlers.
+pub fn kill_started() {
+    for pid in started().drain(..) {
+        // It may have ended already.
+        let _ = kill_process(pid, Signal::KILL);
+    }
+}
+
+fn started() -> MutexGuard<'static, Vec<Pid>> {
+    STARTED.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// What a fleet is made of.
+#[derive(Clone, Debug)]
+pub struct FleetSpec {
+    /// Inventory and rules.
+    pub shape: FleetShape,
+    /// Daemons in each failure domain.
+    pub daemons: usize,
+    /// Whether each backend server has a process of its own.
+    pub separate_servers: bool,
+    /// Snapshots that servers hold and layouts list.
+    pub snapshots: Vec<u64>,
+    /// Median time of a call.
+    pub delay: Duration,
+    /// Further lines for the daemons' `[limits]`.
+    pub limits: String,
+    /// The daemons' log level.
+    pub log_level: &'static str,
+    /// Traffic threads of each daemon.
+    pub traffic_threads: usize,
+    /// Whether the configuration is put into the store at the start.
+    pub configure: bool,
+}
+
+impl FleetSpec {
+    /// One daemon in each domain of `shape`.
+    pub fn new(shape: FleetShape) -> Self {
+        Self {
+            shape,
+            daemons: 1,
+            separate_servers: false,
+            snapshots: vec![1],
+            delay: Duration::from_millis(2),
+            limits: "balancer-lag-ms = 500\n".to_owned(),
+            log_level: "info",
+            traffic_threads: 1,
+            configure: true,
+        }
+    }
+}
+
+/// A process of the fleet.
+#[derive(Debug)]
+pub struct FleetProcess {
+    child: Child,
+    log: PathBuf,
+}
+
+impl FleetProcess {
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal.
+    ///
+    /// # Errors
+    /// Returns the system's error.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).map_err(io::Error::from)
+    }
+
+    fn new(child: Child, log: PathBuf) -> Self {
+        started().push(Pid::from_child(&child));
+        Self { child, log }
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        let own = Pid::from_child(&self.child);
+        started().retain(|pid| *pid != own);
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits at most `limit` for the end; its exit code if it ended.
+    pub fn wait(&mut self, limit: Duration) -> Option<i32> {
+        let began = Instant::now();
+        while began.elapsed() < limit {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.code();
+            }
+            std::thread::sleep(POLL);
+        }
+        None
+    }
+
+    /// What the process wrote to standard error.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for FleetProcess {
+    fn drop(&mut self) {
+        // A stopped process can't be told to end, but it can be killed.
+        self.kill();
+    }
+}
+
+/// A daemon of the fleet.
+#[derive(Debug)]
+pub struct FleetDaemon {
+    /// The VM's name.
+    pub vm: String,
+    /// The failure domain.
+    pub domain: String,
+    /// Where callers are served.
+    pub caller: SocketAddr,
+    /// Where other daemons are served.
+    pub peer: SocketAddr,
+    /// Where operators are served.
+    pub admin: SocketAddr,
+    /// The settings file.
+    pub settings: PathBuf,
+    /// The process, none while it is down.
+    pub process: Option<FleetProcess>,
+}
+
+/// Backend servers of one process.
+#[derive(Debug)]
+pub struct FleetServers {
+    /// The servers' names; empty for a whole domain.
+    pub names: Vec<String>,
+    /// The control port.
+    pub control: SocketAddr,
+    /// The process.
+    pub process: FleetProcess,
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// What it was made of.
+    pub spec: FleetSpec,
+    /// The daemons.
+    pub daemons: Vec<FleetDaemon>,
+    /// The backend servers' processes.
+    pub servers: Vec<FleetServers>,
+    /// The platform's address.
+    pub platform: SocketAddr,
+    /// The platform's process.
+    pub platform_process: FleetProcess,
+    /// The inventory in force.
+    pub inventory: String,
+    /// Files of the fleet.
+    pub directory: PathBuf,
+    binaries: PathBuf,
+    generation: u64,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.process = None;
+        }
+        // Kept for a look at the logs if the test fails.
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every daemon is ready.
+    ///
+    /// # Errors
+    /// Returns an error if a process does not start or become ready.
+    pub fn start(spec: FleetSpec) -> io::Result<Self> {
+        let binaries = binary_directory()?;
+        let directory = fresh_directory()?;
+        certificates::write(&directory)?;
+        let platform = free_address();
+        let platform_process = spawn_standin(
+            &binaries,
+            &directory,
+            "platform",
+            &["--listen", &platform.to_string()],
+        )?;
+        wait_for(|| http::get(platform, "/counts").is_ok(), "platform")?;
+        let ports: Vec<u16> = (0..spec.shape.server_count())
+            .map(|_| free_address().port())
+            .collect();
+        let inventory = spec.shape.inventory(&ports);
+        fs::write(directory.join("inventory.ini"), &inventory)?;
+        let mut fleet = Self {
+            daemons: Vec::new(),
+            servers: Vec::new(),
+            platform,
+            platform_process,
+            inventory: inventory.clone(),
+            directory,
+            binaries,
+            generation: 0,
+            spec,
+        };
+        fleet.start_servers()?;
+        fleet.add_daemons()?;
+        fleet.list_vms(&[])?;
+        if fleet.spec.configure {
+            fleet.write_layouts(&fleet.spec.snapshots.clone())?;
+            fleet.apply(&inventory)?;
+        }
+        for index in 0..fleet.daemons.len() {
+            fleet.start_daemon(index)?;
+        }
+        if fleet.spec.configure {
+            fleet.wait_ready()?;
+        }
+        Ok(fleet)
+    }
+
+    fn start_servers(&mut self) -> io::Result<()> {
+        let inventory = self.inventory.clone();
+        let configuration = CheckedConfiguration::parse(&[("inventory", &inventory)])
+            .map_err(|faults| io::Error::other(format!("{faults:?}")))?;
+        let servers = configuration.inventory.servers.values();
+        let groups: Vec<Vec<String>> = if self.spec.separate_servers {
+            servers
+                .map(|server| vec![server.name.to_string()])
+                .collect()
+        } else {
+            let of_domain = |domain: &String| {
+                let in_domain = servers
+                    .clone()
+                    .filter(|server| server.domain.as_str() == domain);
+                in_domain.map(|server| server.name.to_string()).collect()
+            };
+            self.spec.shape.domains.iter().map(of_domain).collect()
+        };
+        for names in groups {
+            let servers = self.spawn_servers(names)?;
+            self.servers.push(servers);
+        }
+        for servers in &self.servers {
+            wait_for(
+                || http::get(servers.control, "/counts").is_ok(),
+                "backend servers",
+            )?;
+        }
+        Ok(())
+    }
+
+    fn spawn_servers(&self, names: Vec<String>) -> io::Result<FleetServers> {
+        let control = free_address();
+        let snapshots: Vec<String> = self
+            .spec
+            .snapshots
+            .iter()
+            .map(ToString::to_string)
+            .collect();
+        let inventory = self.directory.join("inventory.ini");
+        let arguments = [
+            "--control",
+            &control.to_string(),
+            "--inventory",
+            &inventory.display().to_string(),
+            "--only",
+            &names.join(","),
+            "--snapshots",
+            &snapshots.join("+"),
+            "--delay-us",
+            &self.spec.delay.as_micros().to_string(),
+        ];
+        let process = spawn_standin(&self.binaries, &self.directory, "servers", &arguments)?;
+        Ok(FleetServers {
+            names,
+            control,
+            process,
+        })
+    }
+
+    /// Starts a killed process of backend servers again.
+    ///
+    /// # Errors
+    /// Returns an error if it does not start.
+    pub fn restart_servers(&mut self, index: usize) -> io::Result<()> {
+        let names = self.servers[index].names.clone();
+        self.servers[index].process.kill();
+        self.servers[index] = self.spawn_servers(names)?;
+        let control = self.servers[index].control;
+        wait_for(|| http::get(control, "/counts").is_ok(), "backend servers")
+    }
+
+    fn add_daemons(&mut self) -> io::Result<()> {
+        let domains = self.spec.shape.domains.clone();
+        let mut peers = Vec::new();
+        for domain in &domains {
+            for number in 1..=self.spec.daemons {
+                let vm = format!("{domain}-entry-{number}");
+                let daemon = FleetDaemon {
+                    settings: self.directory.join(format!("{vm}.ini")),
+                    vm,
+                    domain: domain.clone(),
+                    caller: free_address(),
+                    peer: free_address(),
+                    admin: free_address(),
+                    process: None,
+                };
+                peers.push(daemon.peer.to_string());
+                self.daemons.push(daemon);
+            }
+        }
+        for daemon in &self.daemons {
+            fs::write(
+                &daemon.settings,
+                self.settings_of(daemon, &peers.join(", ")),
+            )?;
+        }
+        Ok(())
+    }
+
+    fn settings_of(&self, daemon: &FleetDaemon, seeds: &str) -> String {
+        let directory = self.directory.display();
+        format!(
+            "[daemon]\nvm = {}\nfailure-domain = {}\ncaller-address = {}\npeer-address = {}\nadmin-address = {}\n\
+             traffic-threads = {}\nlog-level = {}\nseeds = {seeds}\n\n[store]\naddress = {}\n\n\
+             [tls]\nca-file = {directory}/ca.pem\ncertificate-file = {directory}/daemon.pem\nkey-file = {directory}/daemon.key\n\n\
+             [limits]\n{}",
+            daemon.vm,
+            daemon.domain,
+            daemon.caller,
+            daemon.peer,
+            daemon.admin,
+            self.spec.traffic_threads,
+            self.spec.log_level,
+            self.platform,
+            self.spec.limits
+        )
+    }
+
+    /// Starts a daemon that is not running.
+    ///
+    /// # Errors
+    /// Returns an error if the process can't be started.
+    pub fn start_daemon(&mut self, index: usize) -> io::Result<()> {
+        let daemon = &mut self.daemons[index];
+        let log = self.directory.join(format!("{}.log", daemon.vm));
+        let file = File::options().create(true).append(true).open(&log)?;
+        let child = Command::new(self.binaries.join("camphorwayd"))
+            .arg("--settings")
+            .arg(&daemon.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(file)
+            .spawn()?;
+        daemon.process = Some(FleetProcess::new(child, log));
+        Ok(())
+    }
+
+    /// Waits until every daemon that runs is ready and knows all the others.
+    ///
+    /// # Errors
+    /// Returns an error if that takes too long.
+    pub fn wait_ready(&self) -> io::Result<()> {
+        let running: Vec<&FleetDaemon> = self
+            .daemons
+            .iter()
+            .filter(|daemon| daemon.process.is_some())
+            .collect();
+        for daemon in &running {
+            let count = running.len();
+            wait_for(|| is_ready(daemon, count, self.generation), &daemon.vm)?;
+        }
+        Ok(())
+    }
+
+    /// Puts a configuration into the store and returns its generation.
+    ///
+    /// # Errors
+    /// Returns an error if the store refuses.
+    pub fn apply(&mut self, text: &str) -> io::Result<u64> {
+        let part = PartReference::to_text("inventory", text);
+        self.put_object(&part.object_key(), text, 0)?;
+        let present = http::get(self.platform, "/objects/config/head")?;
+        let version = present.header("version").parse().unwrap_or(0);
+        self.generation += 1;
+        let head = HeadObject {
+            generation: self.generation.into(),
+            mark: "fleet".to_owned(),
+            parts: vec![part],
+        };
+        let text = serde_json::to_string(&head)?;
+        self.put_object("config/head", &text, version)?;
+        Ok(self.generation)
+    }
+
+    /// Publishes the layouts of all services with these snapshots.
+    ///
+    /// # Errors
+    /// Returns an error if the store refuses.
+    pub fn write_layouts(&self, snapshots: &[u64]) -> io::Result<()> {
+        for service in &self.spec.shape.services {
+            let layout = shape::FleetShape::layout(service, snapshots);
+            self.write_layout(&service.name, &layout)?;
+        }
+        Ok(())
+    }
+
+    /// Publishes one layout object.
+    ///
+    /// # Errors
+    /// Returns an error if the store refuses.
+    pub fn write_layout(&self, service: &str, layout: &Value) -> io::Result<()> {
+        let key = format!("config/layouts/{service}");
+        let present = http::get(self.platform, &format!("/objects/{key}"))?;
+        let version = present.header("version").parse().unwrap_or(0);
+        self.put_object(&key, &layout.to_string(), version)
+    }
+
+    /// Writes an object if its version is `expected`, 0 for a new one.
+    ///
+    /// # Errors
+    /// Returns an error if the store refuses.
+    pub fn put_object(&self, key: &str, text: &str, expected: u64) -> io::Result<()> {
+        let expected = expected.to_string();
+        let message = http::request(
+            Method::PUT,
+            &format!("/objects/{key}"),
+            &[("if-version", &expected)],
+            text,
+        );
+        let reply = http::call(self.platform, message, Duration::from_secs(5))?;
+        // A part that is there already has the same content.
+        let is_part = key.starts_with("config/parts/");
+        if reply.status.is_success() || (is_part && reply.status.as_u16() == 412) {
+            return Ok(());
+        }
+        Err(io::Error::other(format!(
+            "write of {key}: {}",
+            reply.status
+        )))
+    }
+
+    /// Writes the VM list; `leaving` names backend servers that go away.
+    ///
+    /// # Errors
+    /// Returns an error if the platform refuses.
+    pub fn list_vms(&self, leaving: &[&str]) -> io::Result<()> {
+        let mut vms: Vec<Value> = self
+            .daemons
+            .iter()
+            .map(|daemon| json!({ "name": daemon.vm, "kind": "entry", "address": daemon.peer, "state": "live" }))
+            .collect();
+        for name in leaving {
+            vms.push(json!({ "name": name, "kind": "backend", "address": "127.0.0.1:1", "state": "leaving" }));
+        }
+        let message = http::request(Method::PUT, "/vms", &[], &json!(vms).to_string());
+        http::call(self.platform, message, Duration::from_secs(5)).map(|_| ())
+    }
+
+    /// Changes switches of the platform.
+    ///
+    /// # Errors
+    /// Returns an error if the switch is unknown.
+    pub fn switch_platform(&self, switches: &str) -> io::Result<()> {
+        expect_success(
+            &http::post(self.platform, &format!("/switch?{switches}"), "")?,
+            switches,
+        )
+    }
+
+    /// Changes switches of a backend server, `*` for all.
+    ///
+    /// # Errors
+    /// Returns an error if server or switch is unknown.
+    pub fn switch_server(&self, server: &str, switches: &str) -> io::Result<()> {
+        let mut found = false;
+        for servers in &self.servers {
+            if server != "*" && !servers.names.iter().any(|name| name == server) {
+                continue;
+            }
+            found = true;
+            let path = format!("/switch?server={server}&{switches}");
+            expect_success(&http::post(servers.control, &path, "")?, switches)?;
+        }
+        if found {
+            Ok(())
+        } else {
+            Err(io::Error::other(format!("no server {server}")))
+        }
+    }
+
+    /// A counter summed over all backend servers.
+    ///
+    /// # Errors
+    /// Returns an error if a stand-in does not answer.
+    pub fn server_count(&self, name: &str) -> io::Result<u64> {
+        let mut sum = 0;
+        for servers in &self.servers {
+            let counts = http::get(servers.control, "/counts")?.json();
+            sum += counts[name].as_u64().unwrap_or_default();
+        }
+        Ok(sum)
+    }
+
+    /// All calls that backend servers received.
+    ///
+    /// # Errors
+    /// Returns an error if a stand-in does not answer.
+    pub fn records(&self) -> io::Result<Vec<Value>> {
+        let mut records = Vec::new();
+        for servers in &self.servers {
+            if let Value::Array(list) = http::get(servers.control, "/records")?.json() {
+                records.extend(list);
+            }
+        }
+        Ok(records)
+    }
+
+    /// A daemon's state dump.
+    ///
+    /// # Errors
+    /// Returns an error if the daemon does not answer.
+    pub fn state(&self, index: usize) -> io::Result<Value> {
+        Ok(http::get(self.daemons[index].admin, "/state")?.json())
+    }
+
+    /// Sends one request to a daemon.
+    ///
+    /// # Errors
+    /// Returns an error if there is no answer.
+    pub fn query(
+        &self,
+        index: usize,
+        stream: &LoadStream,
+        id: Option<&str>,
+        body: &str,
+    ) -> io::Result<HttpReply> {
+        let fresh = fresh_id(&mut fastrand::Rng::new());
+        let message = query_request(stream, id.unwrap_or(&fresh), body);
+        http::call(
+            self.daemons[index].caller,
+            message,
+            stream.deadline + Duration::from_secs(3),
+        )
+    }
+
+    /// The addresses at which daemons serve callers.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|daemon| daemon.caller).collect()
+    }
+
+    /// The directory of the built programs.
+    pub fn binaries(&self) -> &Path {
+        &self.binaries
+    }
+}
+
+fn is_ready(daemon: &FleetDaemon, count: usize, generation: u64) -> bool {
+    let ready = http::get(daemon.admin, "/readyz").is_ok_and(|reply| reply.status.is_success());
+    if !ready {
+        return false;
+    }
+    let Ok(state) = http::get(daemon.admin, "/state") else {
+        return false;
+    };
+    let state = state.json();
+    let members = state["members"].as_array().map_or(0, |members| {
+        let alive = members.iter().filter(|member| member["state"] == "alive");
+        alive.count()
+    });
+    let has_services = state["services"]
+        .as_array()
+        .is_some_and(|services| !services.is_empty());
+    members == count && has_services && state["generation"].as_u64() >= Some(generation)
+}
+
+fn expect_success(reply: &HttpReply, what: &str) -> io::Result<()> {
+    if reply.status.is_success() {
+        return Ok(());
+    }
+    let body = String::from_utf8_lossy(&reply.body);
+    Err(io::Error::other(format!("{what}: {} {body}", reply.status)))
+}
+
+/// Waits until `done` holds.
+///
+/// # Errors
+/// Returns an error naming `what` if that takes too long.
+pub fn wait_for<Done>(mut done: Done, what: &str) -> io::Result<()>
+where
+    Done: FnMut() -> bool,
+{
+    let began = Instant::now();
+    while began.elapsed() < START_LIMIT {
+        if done() {
+            return Ok(());
+        }
+        std::thread::sleep(POLL);
+    }
+    Err(io::Error::new(
+        io::ErrorKind::TimedOut,
+        format!("waited in vain for {what}"),
+    ))
+}
+
+/// A loopback address whose port is free for TCP and UDP.
+pub fn free_address() -> SocketAddr {
+    let start = std::process::id().wrapping_mul(977);
+    loop {
+        let offset = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + start.wrapping_add(offset) % PORT_COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+fn fresh_directory() -> io::Result<PathBuf> {
+    let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
+    let name = format!("camphorway-{}-{number}", std::process::id());
+    let directory = std::env::temp_dir().join(name);
+    let _ = fs::remove_dir_all(&directory);
+    fs::create_dir_all(&directory)?;
+    Ok(directory)
+}
+
+/// The directory of the built programs: two above a test or an example.
+fn binary_directory() -> io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let directory = own.parent().and_then(Path::parent);
+    directory
+        .map(Path::to_owned)
+        .ok_or_else(|| io::Error::other("no directory of programs"))
+}
+
+/// Starts a stand-in. It ends by itself when its standard input closes, so none
+/// is left if this process is killed.
+fn spawn_standin(
+    binaries: &Path,
+    directory: &Path,
+    name: &str,
+    arguments: &[&str],
+) -> io::Result<FleetProcess> {
+    let log = directory.join(format!("{name}-{}.log", free_address().port()));
+    let file = File::create(&log)?;
+    let child = Command::new(binaries.join("examples").join(name))
+        .args(arguments)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .stderr(file)
+        .spawn()?;
+    Ok(FleetProcess::new(child, log))
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,15 @@
+//! Stand-ins for the systems outside the tier, and tools that drive it. Not
+//! shipped.
+//!
+//! Each stand-in is small: as much of the published protocol as the proofs
+//! need, and switches for the faults that the tier must survive.
+
+pub mod certificates;
+pub mod fleet;
+pub mod http;
+pub mod lifetime;
+pub mod load;
+pub mod platform;
+pub mod server;
+pub mod server_control;
+pub mod shape;
