--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -5,7 +5,7 @@
 use crate::clock::DaemonClock;
 use crate::control::view::SharedView;
 use crate::control::watch::StoreWatch;
-use crate::control::{self, ControlHandle, ControlInput, ControlParts};
+use crate::control::{self, ControlHandle, ControlInput, ControlParts, SharedQuarantine};
 use crate::entry::{EntryParts, RequestEntry};
 use crate::event;
 use crate::holder::{self, GroupHolder};
@@ -14,10 +14,11 @@
 use crate::peer::link::PeerLinks;
 use crate::peer::serve::PeerServer;
 use crate::peer::tls::{TlsError, TlsPair};
-use crate::settings::{DaemonSettings, LimitSettings};
+use crate::settings::DaemonSettings;
 use crate::store::claims::ClaimKeeper;
 use crate::store::client::{StoreClient, StoreError};
 use crate::task::TaskSpawner;
+use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_net::TcpListener;
 use async_signal::{Signal, Signals};
@@ -25,10 +26,12 @@
 use derive_more::Display;
 use futures_lite::future::block_on;
 use futures_lite::{FutureExt, StreamExt};
+use quinn::Connection;
 use std::net::{SocketAddr, UdpSocket};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
@@ -62,12 +65,15 @@
 
 impl std::error::Error for StartError {}
 
-/// A daemon that runs.
-struct RunningDaemon {
+/// What the parts of a daemon share.
+struct DaemonCore {
     settings: DaemonSettings,
     clock: DaemonClock,
     metrics: Arc<DaemonMetrics>,
+    spawner: TaskSpawner,
     control: ControlHandle,
+    view: Arc<SharedView>,
+    quarantine: SharedQuarantine,
     links: Arc<PeerLinks>,
     store: Arc<StoreClient>,
     claims: Arc<ClaimKeeper>,
@@ -76,141 +82,43 @@
     stop_all: CancellationToken,
 }
 
+/// The sockets of a daemon, bound before anything is served.
+struct DaemonSockets {
+    callers: TcpListener,
+    admin: TcpListener,
+    peers: UdpSocket,
+}
+
 /// Runs a daemon until a signal ends it.
 ///
 /// # Errors
 /// Returns why it did not start; then nothing was served.
 pub fn run(settings: DaemonSettings) -> Result<(), StartError> {
-    let clock = DaemonClock::Real;
-    let stop_all = CancellationToken::new();
     let tls = TlsPair::read(&settings.tls).map_err(StartError::Tls)?;
-    let callers = listen("callers", settings.caller_address)?;
-    let admin = listen("operators", settings.admin_address)?;
-    let socket = UdpSocket::bind(settings.peer_address).map_err(|cause| StartError::Listen {
-        purpose: "peers",
-        address: settings.peer_address,
-        cause,
-    })?;
+    let sockets = DaemonSockets::bind(&settings)?;
+    let stop_all = CancellationToken::new();
     let (spawner, threads) =
         TaskSpawner::start(settings.traffic_threads, &stop_all).map_err(StartError::Thread)?;
-    let metrics = Arc::new(DaemonMetrics::new());
-    let store =
-        StoreClient::new(&settings.store, &clock, &spawner, &metrics).map_err(StartError::Store)?;
-    let store = Arc::new(store);
     let (sink, adopted) = async_channel::unbounded();
-    let links = PeerLinks::open(socket, tls, &spawner, &clock, sink).map_err(StartError::Thread)?;
-    let links = Arc::new(links);
-    let view = SharedView::new(&settings.vm, &settings.domain);
-    let (control, inbox) = ControlHandle::new();
-    let quarantine = control::SharedQuarantine::default();
-    let group_holder = GroupHolder::new(
-        Arc::clone(&view),
-        clock.clone(),
-        spawner.clone(),
-        Arc::clone(&metrics),
-        control.clone(),
-    );
-    let group_holder = Arc::new(group_holder);
-    let claims = Arc::new(ClaimKeeper::new(
-        Arc::clone(&store),
-        clock.clone(),
-        spawner.clone(),
-    ));
-    let entry = RequestEntry::new(EntryParts {
-        view: Arc::clone(&view),
-        holder: Arc::clone(&group_holder),
-        links: Arc::clone(&links),
-        claims: Arc::clone(&claims),
-        quarantine: Arc::clone(&quarantine),
-        control: control.clone(),
-        clock: clock.clone(),
-        metrics: Arc::clone(&metrics),
-        spawner: spawner.clone(),
-        limits: settings.limits.clone(),
-    });
-    let stopping = Arc::new(AtomicBool::new(false));
-    let stop_callers = stop_all.child_token();
-    let port = |listener, stop: &CancellationToken, limits: &LimitSettings| HttpPort {
-        listener,
-        spawner: spawner.clone(),
-        limits: limits.clone(),
-        clock: clock.clone(),
-        stop: stop.clone(),
-    };
-    let caller_port = Arc::new(CallerPort::new(Arc::clone(&entry), Arc::clone(&view)));
-    spawner.spawn(port(callers, &stop_callers, &settings.limits).serve(caller_port));
-    let admin_port = Arc::new(AdminPort {
-        entry,
-        view: Arc::clone(&view),
-        control: control.clone(),
-        stopping: Arc::clone(&stopping),
-    });
-    spawner.spawn(port(admin, &stop_all, &settings.limits).serve(admin_port));
-    spawner.spawn(holder::watch::run(
-        Arc::clone(&group_holder),
-        stop_all.clone(),
-    ));
-    let peers = PeerServer {
-        holder: group_holder,
-        links: Arc::clone(&links),
-        control: control.clone(),
-        clock: clock.clone(),
-        metrics: Arc::clone(&metrics),
-        spawner: spawner.clone(),
-        stop: stop_all.clone(),
-    };
-    spawner.spawn(peers.clone().accept());
-    spawner.spawn(peers.attend_all(adopted));
-    let mut members = MemberTable::new(
-        own_record(&settings, clock.unix_ms()),
-        MembershipSettings::default(),
-        fastrand::u64(..),
-    );
-    members.add_candidates(settings.seeds.iter().copied());
-    let parts = ControlParts {
-        members,
-        view: Arc::clone(&view),
-        links: Arc::clone(&links),
-        quarantine,
-        clock: clock.clone(),
-        metrics: Arc::clone(&metrics),
-        inbox,
-        handle: control.clone(),
-        stop: stop_all.clone(),
-    };
-    let watch = StoreWatch {
-        store: Arc::clone(&store),
-        view,
-        control: control.clone(),
-        clock: clock.clone(),
-        stop: stop_all.clone(),
-    };
-    let control_thread = std::thread::Builder::new()
-        .name("control".to_owned())
-        .spawn(move || run_control(parts, &watch))
+    let links = PeerLinks::open(sockets.peers, tls, &spawner, &DaemonClock::Real, sink)
         .map_err(StartError::Thread)?;
+    let (control, inbox) = ControlHandle::new();
+    let core = DaemonCore::new(settings, spawner, links, control, stop_all)?;
+    let holder = core.start_holder();
+    let entry = core.start_callers(sockets.callers, &holder);
+    core.start_admin(sockets.admin, entry);
+    core.start_peers(holder, adopted);
+    let control_thread = core.start_control(inbox)?;
     event!(
         Info,
         "started",
-        vm = settings.vm,
-        domain = settings.domain,
-        callers = settings.caller_address,
-        peers = settings.peer_address,
-        admin = settings.admin_address
+        vm = core.settings.vm,
+        domain = core.settings.domain,
+        callers = core.settings.caller_address,
+        peers = core.settings.peer_address,
+        admin = core.settings.admin_address
     );
-    let daemon = RunningDaemon {
-        settings,
-        clock,
-        metrics,
-        control,
-        links,
-        store,
-        claims,
-        stopping,
-        stop_callers,
-        stop_all,
-    };
-    block_on(daemon.wait_for_end());
+    block_on(core.wait_for_end());
     // A thread that panicked has logged why; the others are to end all the same.
     let _ = control_thread.join();
     for thread in threads {
@@ -219,6 +127,148 @@
     Ok(())
 }
 
+impl DaemonSockets {
+    fn bind(settings: &DaemonSettings) -> Result<Self, StartError> {
+        let peers = UdpSocket::bind(settings.peer_address).map_err(|cause| StartError::Listen {
+            purpose: "peers",
+            address: settings.peer_address,
+            cause,
+        })?;
+        Ok(Self {
+            callers: listen("callers", settings.caller_address)?,
+            admin: listen("operators", settings.admin_address)?,
+            peers,
+        })
+    }
+}
+
+impl DaemonCore {
+    fn new(
+        settings: DaemonSettings,
+        spawner: TaskSpawner,
+        links: PeerLinks,
+        control: ControlHandle,
+        stop_all: CancellationToken,
+    ) -> Result<Self, StartError> {
+        let clock = DaemonClock::Real;
+        let metrics = Arc::new(DaemonMetrics::new());
+        let store = StoreClient::new(&settings.store, &clock, &spawner, &metrics)
+            .map_err(StartError::Store)?;
+        let store = Arc::new(store);
+        let claims = ClaimKeeper::new(Arc::clone(&store), clock.clone(), spawner.clone());
+        Ok(Self {
+            view: SharedView::new(&settings.vm, &settings.domain),
+            settings,
+            clock,
+            metrics,
+            spawner,
+            control,
+            quarantine: SharedQuarantine::default(),
+            links: Arc::new(links),
+            store,
+            claims: Arc::new(claims),
+            stopping: Arc::default(),
+            stop_callers: stop_all.child_token(),
+            stop_all,
+        })
+    }
+
+    fn start_holder(&self) -> Arc<GroupHolder> {
+        let holder = Arc::new(GroupHolder::new(
+            Arc::clone(&self.view),
+            self.clock.clone(),
+            self.spawner.clone(),
+            Arc::clone(&self.metrics),
+            self.control.clone(),
+        ));
+        let watch = holder::watch::run(Arc::clone(&holder), self.stop_all.clone());
+        self.spawner.spawn(watch);
+        holder
+    }
+
+    fn start_callers(&self, listener: TcpListener, holder: &Arc<GroupHolder>) -> Arc<RequestEntry> {
+        let entry = RequestEntry::new(EntryParts {
+            view: Arc::clone(&self.view),
+            holder: Arc::clone(holder),
+            links: Arc::clone(&self.links),
+            claims: Arc::clone(&self.claims),
+            quarantine: Arc::clone(&self.quarantine),
+            control: self.control.clone(),
+            clock: self.clock.clone(),
+            metrics: Arc::clone(&self.metrics),
+            spawner: self.spawner.clone(),
+            limits: self.settings.limits.clone(),
+        });
+        let port = CallerPort::new(Arc::clone(&entry), Arc::clone(&self.view));
+        let serving = self.http_port(listener, &self.stop_callers);
+        self.spawner.spawn(serving.serve(Arc::new(port)));
+        entry
+    }
+
+    fn start_admin(&self, listener: TcpListener, entry: Arc<RequestEntry>) {
+        let port = AdminPort {
+            entry,
+            view: Arc::clone(&self.view),
+            control: self.control.clone(),
+            stopping: Arc::clone(&self.stopping),
+        };
+        let serving = self.http_port(listener, &self.stop_all);
+        self.spawner.spawn(serving.serve(Arc::new(port)));
+    }
+
+    fn http_port(&self, listener: TcpListener, stop: &CancellationToken) -> HttpPort {
+        HttpPort {
+            listener,
+            spawner: self.spawner.clone(),
+            limits: self.settings.limits.clone(),
+            clock: self.clock.clone(),
+            stop: stop.clone(),
+        }
+    }
+
+    fn start_peers(&self, holder: Arc<GroupHolder>, adopted: Receiver<Connection>) {
+        let peers = PeerServer {
+            holder,
+            links: Arc::clone(&self.links),
+            control: self.control.clone(),
+            clock: self.clock.clone(),
+            metrics: Arc::clone(&self.metrics),
+            spawner: self.spawner.clone(),
+            stop: self.stop_all.clone(),
+        };
+        self.spawner.spawn(peers.clone().accept());
+        self.spawner.spawn(peers.attend_all(adopted));
+    }
+
+    fn start_control(&self, inbox: Receiver<ControlInput>) -> Result<JoinHandle<()>, StartError> {
+        let own = own_record(&self.settings, self.clock.unix_ms());
+        let mut members = MemberTable::new(own, MembershipSettings::default(), fastrand::u64(..));
+        members.add_candidates(self.settings.seeds.iter().copied());
+        let parts = ControlParts {
+            members,
+            view: Arc::clone(&self.view),
+            links: Arc::clone(&self.links),
+            quarantine: Arc::clone(&self.quarantine),
+            clock: self.clock.clone(),
+            metrics: Arc::clone(&self.metrics),
+            inbox,
+            handle: self.control.clone(),
+            stop: self.stop_all.clone(),
+        };
+        let watch = StoreWatch {
+            store: Arc::clone(&self.store),
+            view: Arc::clone(&self.view),
+            control: self.control.clone(),
+            clock: self.clock.clone(),
+            stop: self.stop_all.clone(),
+        };
+        std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || run_control(parts, &watch))
+            .map_err(StartError::Thread)
+    }
+}
+
 fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     block_on(TcpListener::bind(address)).map_err(|cause| StartError::Listen {
         purpose,
@@ -248,7 +298,7 @@
     block_on(executor.run(work));
 }
 
-impl RunningDaemon {
+impl DaemonCore {
     /// Serves until a signal, then stops.
     async fn wait_for_end(&self) {
         let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -219,7 +219,7 @@
         let name = &service.entry.service;
         let layouts = &service.layout.snapshots;
         let newest_only = view.config.rules.policy.newest_snapshot;
-        let chosen = choice::snapshot(
+        let chosen = choice::choose_snapshot(
             layouts,
             service.entry.coverage_target,
             newest_only,
--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -180,7 +180,9 @@
         if text.len() > 1 {
             text.push(',');
         }
-        text.push_str(&format!("{{\"shard\":{shard},\"answer\":"));
+        text.push_str("{\"shard\":");
+        text.push_str(&shard.to_string());
+        text.push_str(",\"answer\":");
         match serde_json::from_slice::<&RawValue>(body) {
             Ok(raw) => text.push_str(raw.get()),
             // What isn't JSON is passed on as a string.
--- a/crates/daemon/src/entry/fan_out.rs
+++ b/crates/daemon/src/entry/fan_out.rs
@@ -166,7 +166,7 @@
         };
         let late = async {
             clock
-                .sleep_until(self.admitted.deadline - REPLY_MARGIN)
+                .sleep_until(self.admitted.deadline.checked_sub(REPLY_MARGIN).unwrap())
                 .await;
             FanEvent::Late
         };
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -81,12 +81,12 @@
         let kind = text(headers, KIND_HEADER)?;
         let rules = &view.config.rules;
         let rule = rules.find(&service, &caller, kind);
-        let ruled = rule.map_or(RequestRank::Normal, |rule| rule.rank);
+        let highest = rule.map_or(RequestRank::Normal, |rule| rule.rank);
         let rank = match text(headers, RANK_HEADER)? {
             Some(text) => RequestRank::parse(text)
-                .map(|wish| ruled.lower_of(wish))
+                .map(|wish| highest.lower_of(wish))
                 .ok_or_else(|| error(RANK_HEADER, "allowed: urgent, normal, bulk"))?,
-            None => ruled,
+            None => highest,
         };
         let time_limit = match text(headers, DEADLINE_HEADER)? {
             Some(text) => read_deadline(text)?,
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -28,9 +28,11 @@
     let plain = !text.is_empty() && !text.contains([' ', '"', '\n', '=']);
     if plain {
         line.push_str(&text);
-    } else {
-        line.push_str(&format!("{text:?}"));
+        return line;
     }
+    line.push('"');
+    line.extend(text.escape_debug());
+    line.push('"');
     line
 }
 
--- a/crates/daemon/src/holder.rs
+++ b/crates/daemon/src/holder.rs
@@ -102,7 +102,7 @@
             budgets.retry.set_ratio(policy.retry_budget);
             budgets.hedge.earn(request.shards.len());
             budgets.retry.earn(request.shards.len());
-        }
+        };
         let task = ShardTask {
             deadline: self.clock.now() + request.time_left,
             request: Arc::new(request),
--- a/crates/daemon/src/holder/protocol.rs
+++ b/crates/daemon/src/holder/protocol.rs
@@ -76,6 +76,9 @@
 
 impl ServerRequest<'_> {
     /// The HTTP request.
+    ///
+    /// # Panics
+    /// Panics if a header value is not plain text, which the types rule out.
     pub fn to_http(&self) -> Request<Full<Bytes>> {
         Request::builder()
             .method(Method::POST)
@@ -107,6 +110,9 @@
 }
 
 /// The HTTP request that cancels a call.
+///
+/// # Panics
+/// Never: all parts are constant or numbers.
 pub fn cancel_request(call: u64) -> Request<Full<Bytes>> {
     Request::builder()
         .method(Method::POST)
@@ -118,6 +124,9 @@
 }
 
 /// The HTTP request for a server's state.
+///
+/// # Panics
+/// Never: all parts are constant.
 pub fn status_request() -> Request<Full<Bytes>> {
     Request::builder()
         .uri("/status")
--- a/crates/daemon/src/holder/shard_call.rs
+++ b/crates/daemon/src/holder/shard_call.rs
@@ -110,7 +110,7 @@
                     hedged = true;
                     self.hedge(attempts);
                 }
-                CallEvent::Late => return self.late(attempts),
+                CallEvent::Late => return Self::late(attempts),
                 CallEvent::Cancelled => return ShardResult::Failed(FailCause::Timeout),
             }
         }
@@ -120,7 +120,7 @@
         attempts.last.clone()
     }
 
-    fn late(&self, attempts: &Attempts) -> ShardResult {
+    fn late(attempts: &Attempts) -> ShardResult {
         // A try that has not got its slot yet is withdrawn by its own guard, but
         // from here it can't be told from one that was just sent.
         if attempts.outstanding > 0 || attempts.sent {
@@ -379,7 +379,7 @@
                 } else {
                     slot
                 });
-                stop.map_or(end, |stop| stop.end())
+                stop.map_or(end, Stop::end)
             }
             Some(Err(cause)) => {
                 drop(connection);
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -165,14 +165,14 @@
     /// Counts a refusal.
     pub fn refused(&self, rank: RequestRank, reason: RefusalReason) {
         self.refusals
-            .with_label_values(&[rank.to_string(), reason.to_string()].as_slice())
+            .with_label_values([rank.to_string(), reason.to_string()].as_slice())
             .inc();
     }
 
     /// Counts a call to a backend server.
     pub fn called_server(&self, purpose: CallPurpose) {
         self.server_calls
-            .with_label_values(&[purpose.to_string()].as_slice())
+            .with_label_values([purpose.to_string()].as_slice())
             .inc();
     }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -54,6 +54,10 @@
 }
 
 /// The files of certificates and keys, in PEM.
+#[expect(
+    clippy::struct_field_names,
+    reason = "the names are those of the settings file"
+)]
 #[derive(Clone, Debug)]
 pub struct TlsSettings {
     /// Certificates of the authority that all daemons trust.
--- a/crates/daemon/src/store/client.rs
+++ b/crates/daemon/src/store/client.rs
@@ -234,7 +234,7 @@
         match (reply.status, reply.version) {
             (StatusCode::OK, Some(version)) => {
                 let text = String::from_utf8(reply.body.to_vec())
-                    .map_err(|_| failed("get", key, "object is not UTF-8".to_owned()))?;
+                    .map_err(|cause| failed("get", key, cause.to_string()))?;
                 Ok(Some(StoredObject { version, text }))
             }
             (StatusCode::NOT_FOUND, _) => Ok(None),
--- a/crates/gossip/src/tracker.rs
+++ b/crates/gossip/src/tracker.rs
@@ -75,7 +75,7 @@
         for reference in &head.parts {
             match part(reference) {
                 Some(text) if reference.matches(text) => {
-                    texts.push((reference.name.as_str(), text))
+                    texts.push((reference.name.as_str(), text));
                 }
                 Some(_) | None => missing.push(reference.clone()),
             }
--- a/crates/model/src/rules.rs
+++ b/crates/model/src/rules.rs
@@ -12,6 +12,7 @@
 const RULE_KEYS: &str = "service, caller, kind, rank, idempotent, canary";
 const POLICY_KEYS: &str = "ranked-queues, early-refusal, hedging, hedge-budget, retry-budget, \
                            newest-snapshot, group-size, seats, claim-retention-s, preempt";
+const DEFAULT_CLAIM_RETENTION: Duration = Duration::from_secs(24 * 3_600);
 const DEFAULT_SHARE: [f64; 3] = [0.5, 0.3, 0.1];
 const DEFAULT_DEADLINE: [Duration; 3] = [
     Duration::from_secs(1),
@@ -75,6 +76,10 @@
 }
 
 /// Which decisions are switched on, and their budgets.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each switch is one key of the policy section"
+)]
 #[serde_as]
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct PolicySwitches {
@@ -113,7 +118,7 @@
             preempt: true,
             group_size: 36,
             seats: 1,
-            claim_retention: Duration::from_hours(24),
+            claim_retention: DEFAULT_CLAIM_RETENTION,
         }
     }
 }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -100,7 +100,7 @@
             let wait = self.wait(group, rank, now);
             if wait > time_left {
                 late += weight;
-                longest = longest.max(wait - time_left);
+                longest = longest.max(wait.saturating_sub(time_left));
             }
         }
         let too_late = late > total * (1.0 - coverage_target);
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -9,12 +9,12 @@
 ///
 /// `reachable` gives the weight of a snapshot's shards, 0 to 1, that some
 /// usable server is believed to hold.
-pub fn snapshot<'layout, Reachable>(
-    snapshots: &'layout [SnapshotLayout],
+pub fn choose_snapshot<Reachable>(
+    snapshots: &[SnapshotLayout],
     target: f64,
     newest_only: bool,
     reachable: Reachable,
-) -> Option<&'layout SnapshotLayout>
+) -> Option<&SnapshotLayout>
 where
     Reachable: Fn(&SnapshotLayout) -> f64,
 {
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -32,11 +32,13 @@
 
     /// Gives up on sending the request.
     pub fn refuse(self, reason: RefusalReason) -> NotRunProof {
+        let Self(()) = self;
         NotRunProof { reason }
     }
 
     /// Starts sending; from here `not-run` needs every dispatch to come back.
     pub fn dispatch(self) -> DispatchLedger {
+        let Self(()) = self;
         DispatchLedger { sent: 0, unsent: 0 }
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 //! need, and switches for the faults that the tier must survive.
 
 pub mod certificates;
+pub mod experiment;
 pub mod fleet;
 pub mod http;
 pub mod lifetime;
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -173,7 +173,7 @@
     for thread in threads {
         let _ = thread.join();
     }
-    Ok(std::mem::take(&mut *generator.lock(&generator.answers)))
+    Ok(std::mem::take(&mut *lock(&generator.answers)))
 }
 
 /// Sums up the answers of a run.
@@ -276,10 +276,6 @@
 }
 
 impl Generator {
-    fn lock<'lock, Guarded>(&self, mutex: &'lock Mutex<Guarded>) -> MutexGuard<'lock, Guarded> {
-        mutex.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     async fn send_stream(
         self: &Arc<Self>,
         plan: &LoadPlan,
@@ -327,7 +323,7 @@
                     status,
                     body,
                 };
-                generator.lock(&generator.answers).push(answer);
+                lock(&generator.answers).push(answer);
             }));
         }
     }
@@ -340,7 +336,7 @@
         body: &str,
     ) -> io::Result<crate::http::HttpReply> {
         let pooled = loop {
-            let sender = self.lock(&self.idle).entry(target).or_default().pop();
+            let sender = lock(&self.idle).entry(target).or_default().pop();
             match sender {
                 Some(sender) if sender.is_ready() => break Some(sender),
                 Some(_) => {}
@@ -357,10 +353,7 @@
             .await
             .map_err(io::Error::other)?;
         let reply = read_reply(response).await?;
-        self.lock(&self.idle)
-            .entry(target)
-            .or_default()
-            .push(sender);
+        lock(&self.idle).entry(target).or_default().push(sender);
         Ok(reply)
     }
 }
@@ -383,3 +376,7 @@
     }
     request(Method::POST, "/query", &headers, body)
 }
+
+fn lock<Guarded>(mutex: &Mutex<Guarded>) -> MutexGuard<'_, Guarded> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -26,6 +26,10 @@
 const DRAIN_TEXT: &str = "draining";
 
 /// How a server behaves; changed while it runs.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each switch is one fault of its own"
+)]
 #[derive(Clone, Debug, Serialize)]
 pub struct ServerSwitches {
     /// Median time of a call.
@@ -369,8 +373,7 @@
         drop(running);
         let switches = self.lock().switches.clone();
         if switches.cut_after_run {
-            // Dropping the connection's future from inside isn't possible; a panic-free way is never to answer.
-            return Some(self.cut());
+            return Some(cut());
         }
         Some(self.answer(&head.headers, &switches))
     }
@@ -443,15 +446,6 @@
         response
     }
 
-    /// A reply that ends the connection: it states a body and sends none.
-    fn cut(&self) -> Response<Full<Bytes>> {
-        let mut response = text_response(StatusCode::OK, String::new());
-        response
-            .headers_mut()
-            .insert("content-length", HeaderValue::from(10_u64));
-        response
-    }
-
     fn echo(&self, from: &HeaderMap, to: &mut HeaderMap, crossed: bool) {
         for name in [
             "camphorway-request",
@@ -529,3 +523,12 @@
 fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
     header(headers, name).parse().ok()
 }
+
+/// A reply that ends the connection: it states a body and sends none.
+fn cut() -> Response<Full<Bytes>> {
+    let mut response = text_response(StatusCode::OK, String::new());
+    response
+        .headers_mut()
+        .insert("content-length", HeaderValue::from(10_u64));
+    response
+}
--- /dev/null
+++ b/tests/all/caller_port.rs
@@ -0,0 +1,142 @@
+//! Malformed, oversized, slow and half-sent requests get a clear refusal and
+//! hold nothing for long.
+
+use camphorway_standins::fleet::{Fleet, FleetSpec};
+use camphorway_standins::http;
+use camphorway_standins::load::{LoadStream, fresh_id};
+use camphorway_standins::shape::FleetShape;
+use hyper::Method;
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+const READ_TIMEOUT: Duration = Duration::from_millis(400);
+
+fn fleet() -> Fleet {
+    let mut spec = FleetSpec::new(FleetShape::simple(1, 2));
+    spec.limits = format!(
+        "balancer-lag-ms = 0\nbody-bytes = 1000\nread-timeout-ms = {}\n",
+        READ_TIMEOUT.as_millis()
+    );
+    Fleet::start(spec).expect("a fleet")
+}
+
+fn refusal(fleet: &Fleet, headers: &[(&str, &str)], body: &str) -> (u16, String) {
+    let message = http::request(Method::POST, "/query", headers, body);
+    let limit = Duration::from_secs(5);
+    let reply = http::call(fleet.daemons[0].caller, message, limit).expect("an answer");
+    assert_eq!(reply.header("camphorway-outcome"), "not-run");
+    let problem = reply.json()["problem"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned();
+    (reply.status.as_u16(), problem)
+}
+
+#[test]
+fn malformed_requests_are_refused_by_header() {
+    let fleet = fleet();
+    let id = fresh_id(&mut fastrand::Rng::new());
+    let good = [
+        ("camphorway-request", id.as_str()),
+        ("camphorway-service", "portal"),
+        ("camphorway-caller", "test"),
+    ];
+    let with = |name: &'static str, value: &'static str| {
+        let kept = good.iter().filter(|(other, _)| *other != name);
+        let mut headers: Vec<_> = kept.copied().collect();
+        if !value.is_empty() {
+            headers.push((name, value));
+        }
+        refusal(&fleet, &headers, "")
+    };
+    let expect = |(status, problem): (u16, String), part: &str| {
+        assert_eq!(status, 400, "{problem}");
+        assert!(problem.contains(part), "{problem}");
+    };
+    expect(with("camphorway-request", ""), "is missing");
+    expect(with("camphorway-request", "17"), "not a UUID");
+    expect(
+        with("camphorway-request", "6ba7b810-9dad-41d1-80b4-00c04fd430c8"),
+        "not a UUIDv7",
+    );
+    expect(with("camphorway-service", ""), "is missing");
+    expect(with("camphorway-rank", "royal"), "urgent, normal, bulk");
+    expect(with("camphorway-deadline-ms", "soon"), "whole number");
+    expect(with("camphorway-idempotent", "maybe"), "yes, no");
+    let (status, problem) = refusal(&fleet, &good, &"x".repeat(1_001));
+    assert_eq!(
+        (status, problem.as_str()),
+        (413, "body is larger than allowed")
+    );
+}
+
+#[test]
+fn unknown_service_did_not_run() {
+    let fleet = fleet();
+    let stream = LoadStream::new("test", "nowhere", 1.0, Duration::from_secs(1));
+    let reply = fleet.query(0, &stream, None, "").expect("an answer");
+    assert_eq!(reply.status.as_u16(), 404);
+    assert_eq!(reply.header("camphorway-outcome"), "not-run");
+    assert_eq!(reply.header("camphorway-reason"), "unknown-service");
+}
+
+#[test]
+fn slow_and_half_sent_requests_are_cut() {
+    let fleet = fleet();
+    let address = fleet.daemons[0].caller;
+    for beginning in [
+        "",
+        "P",
+        "POST /query HTTP/1.1\r\nhost: x\r\n",
+        "PRI * HTTP/2.0\r\n",
+    ] {
+        let mut stream = TcpStream::connect(address).expect("a connection");
+        stream.write_all(beginning.as_bytes()).expect("sent");
+        let limit = Duration::from_secs(5);
+        stream.set_read_timeout(Some(limit)).expect("a time limit");
+        let began = Instant::now();
+        let mut reply = Vec::new();
+        let ended = stream.read_to_end(&mut reply);
+        let took = began.elapsed();
+        // Bytes that the daemon left unread make the system reset the connection.
+        let reset = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionReset;
+        assert!(
+            ended.as_ref().is_ok() || ended.as_ref().is_err_and(reset),
+            "{beginning:?}: {ended:?}"
+        );
+        assert!(took < READ_TIMEOUT * 4, "{beginning:?}: cut after {took:?}");
+    }
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    let head = "POST /query HTTP/1.1\r\nhost: x\r\ncontent-length: 10\r\n\r\nabc";
+    stream.write_all(head.as_bytes()).expect("sent");
+    let mut reply = [0; 32];
+    let count = stream.read(&mut reply).expect("a refusal");
+    let text = String::from_utf8_lossy(&reply[..count]).into_owned();
+    assert!(text.starts_with("HTTP/1.1 408"), "{text}");
+}
+
+#[test]
+fn hung_up_callers_leave_nothing() {
+    let fleet = fleet();
+    fleet
+        .switch_server("*", "delay-us=300000")
+        .expect("a switch");
+    let id = fresh_id(&mut fastrand::Rng::new());
+    for _ in 0..8 {
+        let mut stream = TcpStream::connect(fleet.daemons[0].caller).expect("a connection");
+        let head = format!(
+            "POST /query HTTP/1.1\r\nhost: x\r\ncamphorway-request: {id}\r\ncamphorway-service: portal\r\n\
+             camphorway-caller: test\r\ncontent-length: 0\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).expect("sent");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let quiet = || {
+        let state = fleet.state(0).expect("a dump");
+        let servers = state["servers"].as_array().expect("a list").clone();
+        let idle = |server: &serde_json::Value| server["running"] == 0 && server["waiting"] == 0;
+        state["requests-running"] == 0 && servers.iter().all(idle)
+    };
+    camphorway_standins::fleet::wait_for(quiet, "an idle daemon").expect("nothing left");
+}
