--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -231,6 +231,20 @@
             .position(|layout| layout.snapshot == chosen.snapshot)
     }
 
+    /// Another snapshot that a query should start again on, if it is expected to
+    /// cover more than the part `held` of the one it was on.
+    fn better_snapshot(&self, admitted: &AdmittedRequest, held: f64) -> Option<usize> {
+        let service = admitted.service();
+        let now = self.parts.clock.now();
+        let chosen = self.choose_snapshot(service, &admitted.view, now)?;
+        let snapshot = service.layout.snapshots[chosen].snapshot;
+        let memory = self.memory();
+        let expected = memory
+            .coverage
+            .expected(&service.entry.service, snapshot, now);
+        (chosen != admitted.snapshot && expected > held).then_some(chosen)
+    }
+
     fn check_waits(
         &self,
         request: &CallerRequest,
--- a/crates/daemon/src/entry/fan_out.rs
+++ b/crates/daemon/src/entry/fan_out.rs
@@ -30,20 +30,24 @@
     mut admitted: AdmittedRequest,
     token: UnsentToken,
 ) -> CallerAnswer {
-    let mut ledger = token.dispatch();
-    let last = admitted.service().layout.snapshots.len() - 1;
-    loop {
-        let mut fan = FanOut::new(entry, &admitted, ledger);
-        fan.drive().await;
-        fan.observe();
-        // Nothing was sent to the caller yet, so the query may start again on a newer snapshot.
-        let restart = fan.lacks_snapshot() && admitted.snapshot < last && !fan.is_late();
-        if !restart {
-            return fan.finish();
-        }
-        ledger = fan.into_ledger();
-        admitted.snapshot = last;
-    }
+    let mut fan = FanOut::new(entry, &admitted, token.dispatch());
+    fan.drive().await;
+    let held = fan.observe();
+    // Nothing was sent to the caller yet, so the query may start again, once.
+    let better = if fan.lacks_snapshot() && !fan.is_late() {
+        entry.better_snapshot(&admitted, held)
+    } else {
+        None
+    };
+    let Some(better) = better else {
+        return fan.finish();
+    };
+    let ledger = fan.into_ledger();
+    admitted.snapshot = better;
+    let mut fan = FanOut::new(entry, &admitted, ledger);
+    fan.drive().await;
+    fan.observe();
+    fan.finish()
 }
 
 /// What became of one shard so far.
@@ -398,8 +402,8 @@
         false
     }
 
-    /// Remembers how much of the snapshot was held.
-    fn observe(&self) {
+    /// Remembers how much of the snapshot was held, 0 to 1.
+    fn observe(&self) -> f64 {
         let mut held = 0.0;
         let mut total = 0.0;
         for (place, progress) in self.layout.shards.iter().zip(&self.progress) {
@@ -414,6 +418,7 @@
         memory
             .coverage
             .observe(service, self.layout.snapshot, held / total, now);
+        held / total
     }
 
     /// Whether shards are missing since their servers gave up the snapshot.
