Admission at the entry by reported wait; guaranteed shares through floods

The wait reports rode on the holder's last frame, which the entry no longer reads once all shards are told, so it never refused. Ruled out: order in the servers' queues. Change: the report rides on the acknowledgement; a limit on requests in flight for each service and rank follows it, fair between kinds; the wait of a rank counts its guaranteed share; bulk is preempted only above its share, gets back the time it did not use, is preempted once and runs again free of the retry budget.

--- a/crates/daemon/src/control/view.rs
+++ b/crates/daemon/src/control/view.rs
@@ -59,6 +59,9 @@
     /// For each snapshot, for each shard: the groups that have a replica, the
     /// nearest failure domain first.
     pub routes: Vec<Vec<Vec<GroupId>>>,
+    /// For each snapshot: the groups that are asked first, with the weight of
+    /// their shards.
+    pub nearest: Vec<BTreeMap<GroupId, f64>>,
 }
 
 impl SharedView {
@@ -153,16 +156,7 @@
             };
             match ServiceLayout::parse(text) {
                 Ok(layout) => {
-                    let routes = layout
-                        .snapshots
-                        .iter()
-                        .map(|snapshot| self.routes(entry, snapshot));
-                    let view = ServiceView {
-                        entry: entry.clone(),
-                        routes: routes.collect(),
-                        layout: layout.clone(),
-                    };
-                    services.insert(entry.service.clone(), view);
+                    services.insert(entry.service.clone(), self.build_service(entry, layout));
                 }
                 Err(cause) => {
                     event!(Error, "layout-refused", key = key, cause = cause);
@@ -176,6 +170,28 @@
         services
     }
 
+    fn build_service(&self, entry: &ServiceEntry, layout: ServiceLayout) -> ServiceView {
+        let mut routes = Vec::new();
+        let mut nearest = Vec::new();
+        for snapshot in &layout.snapshots {
+            let of_shards = self.routes(entry, snapshot);
+            let mut weights = BTreeMap::new();
+            for (route, place) in of_shards.iter().zip(&snapshot.shards) {
+                if let Some(group) = route.first() {
+                    *weights.entry(group.clone()).or_default() += place.weight;
+                }
+            }
+            routes.push(of_shards);
+            nearest.push(weights);
+        }
+        ServiceView {
+            entry: entry.clone(),
+            layout,
+            routes,
+            nearest,
+        }
+    }
+
     fn routes(&self, entry: &ServiceEntry, snapshot: &SnapshotLayout) -> Vec<Vec<GroupId>> {
         let mut by_instance: HashMap<&str, Vec<GroupId>> = HashMap::new();
         for place in &snapshot.shards {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -22,13 +22,16 @@
 use camphorway_model::{CanaryMode, PerRank, RefusalReason, RequestRank};
 use camphorway_policy::choice::{self, CoverageMemory};
 use camphorway_policy::{
-    AdmissionDecision, ContentVerdict, EntryAdmission, HedgePacer, LatencyWindow, RatioBudget,
-    UnsentToken,
+    AdmissionAsk, AdmissionDecision, ContentVerdict, EntryAdmission, HedgePacer, LatencyWindow,
+    RatioBudget, UnsentToken,
 };
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+/// An answer this close to its deadline counts as late.
+const LATE_MARGIN: Duration = Duration::from_millis(3);
+
 /// What the entry needs of the daemon.
 #[derive(Debug)]
 pub struct EntryParts {
@@ -91,6 +94,8 @@
     pub deadline: Instant,
     /// How the content may run.
     pub verdict: ContentVerdict,
+    /// The place among the requests in flight.
+    pub guard: Option<AdmissionGuard>,
 }
 
 impl AdmittedRequest {
@@ -168,7 +173,7 @@
 
     /// Decides whether and on which snapshot a request runs; nothing is sent.
     fn admit(
-        &self,
+        self: &Arc<Self>,
         request: CallerRequest,
         now: Instant,
     ) -> Result<AdmittedRequest, (RefusalReason, Duration)> {
@@ -197,16 +202,19 @@
             return refuse(RefusalReason::Unavailable);
         };
         let deadline = now + request.time_limit;
-        if view.config.rules.policy.early_refusal {
-            self.check_waits(&request, service, &view, snapshot, now)?;
-        }
         let request = Arc::new(request);
+        let guard = if view.config.rules.policy.early_refusal {
+            Some(self.check_load(&request, &view, snapshot, now)?)
+        } else {
+            None
+        };
         Ok(AdmittedRequest {
             request,
             view,
             snapshot,
             deadline,
             verdict,
+            guard,
         })
     }
 
@@ -245,35 +253,43 @@
         (chosen != admitted.snapshot && expected > held).then_some(chosen)
     }
 
-    fn check_waits(
-        &self,
-        request: &CallerRequest,
-        service: &ServiceView,
-        view: &TierView,
+    /// Refuses what would come too late or is over its kind's share.
+    fn check_load(
+        self: &Arc<Self>,
+        request: &Arc<CallerRequest>,
+        view: &Arc<TierView>,
         snapshot: usize,
         now: Instant,
-    ) -> Result<(), (RefusalReason, Duration)> {
+    ) -> Result<AdmissionGuard, (RefusalReason, Duration)> {
         let rules = &view.config.rules.ranks;
         let bound = |rank: RequestRank| rules[rank].max_refused;
-        let bounds = PerRank(RequestRank::ALL.map(bound));
-        let routes = service.routes[snapshot].iter();
-        let places = service.layout.snapshots[snapshot].shards.iter();
-        let nearest = routes
-            .zip(places)
-            .filter_map(|(route, place)| Some((route.first()?, place.weight)));
-        let mut memory = self.memory();
-        memory.admission.set_max_refused(bounds);
+        let service = &view.services[&request.service];
         let target = if request.idempotent {
             service.entry.coverage_target
         } else {
             1.0
         };
-        let decision =
-            memory
-                .admission
-                .decide(request.rank, request.time_limit, target, nearest, now);
-        match decision {
-            AdmissionDecision::Admit => Ok(()),
+        let ask = AdmissionAsk {
+            service: &request.service,
+            rank: request.rank,
+            kind: request.kind,
+            time_left: request.time_limit,
+            coverage_target: target,
+        };
+        let nearest = service.nearest[snapshot].iter();
+        let nearest = nearest.map(|(group, weight)| (group, *weight));
+        let mut memory = self.memory();
+        memory
+            .admission
+            .set_max_refused(PerRank(RequestRank::ALL.map(bound)));
+        match memory.admission.decide(&ask, nearest, now) {
+            AdmissionDecision::Admit => Ok(AdmissionGuard {
+                entry: Arc::clone(self),
+                view: Arc::clone(view),
+                request: Arc::clone(request),
+                snapshot,
+                deadline: now + request.time_limit,
+            }),
             AdmissionDecision::Refuse { retry_after } => {
                 Err((RefusalReason::Overloaded, retry_after))
             }
@@ -281,5 +297,33 @@
     }
 }
 
+/// Gives back an admitted request's place, also if the caller hangs up.
+#[derive(Debug)]
+pub struct AdmissionGuard {
+    entry: Arc<RequestEntry>,
+    view: Arc<TierView>,
+    request: Arc<CallerRequest>,
+    snapshot: usize,
+    deadline: Instant,
+}
+
+impl Drop for AdmissionGuard {
+    fn drop(&mut self) {
+        let now = self.entry.parts.clock.now();
+        let late = now + LATE_MARGIN >= self.deadline;
+        let service = &self.view.services[&self.request.service];
+        let ask = AdmissionAsk {
+            service: &self.request.service,
+            rank: self.request.rank,
+            kind: self.request.kind,
+            time_left: Duration::ZERO,
+            coverage_target: service.entry.coverage_target,
+        };
+        let groups = service.nearest[self.snapshot].keys();
+        let mut memory = self.entry.memory();
+        memory.admission.finish(&ask, late, groups, now);
+    }
+}
+
 /// The canary mode of a request that no rule covers.
 pub const DEFAULT_CANARY: CanaryMode = CanaryMode::Suspects;
--- a/crates/daemon/src/entry/ask.rs
+++ b/crates/daemon/src/entry/ask.rs
@@ -11,7 +11,8 @@
 };
 use async_channel::{Receiver, Sender};
 use camphorway_gossip::holders::SeatHolder;
-use camphorway_model::{GroupId, ShardId};
+use camphorway_model::{GroupId, PerRank, ShardId};
+use camphorway_policy::WaitReport;
 use futures_lite::FutureExt;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -52,9 +53,9 @@
 /// What one seat's exchange says.
 #[derive(Debug)]
 enum SeatEvent {
-    Acknowledged,
+    Acknowledged(WaitReport),
     Shard(ShardReply),
-    Done([Duration; 3]),
+    Done,
     /// Nothing was sent.
     Unsent,
     /// Something may have been sent, and no more comes.
@@ -133,17 +134,14 @@
 
     async fn take(&self, event: SeatEvent, round: &mut SeatRound) {
         match event {
-            SeatEvent::Acknowledged => round.acknowledged = true,
-            SeatEvent::Shard(reply) => self.take_reply(reply, round).await,
-            SeatEvent::Done(waits) => {
-                round.active -= 1;
+            SeatEvent::Acknowledged(report) => {
+                round.acknowledged = true;
                 let now = self.entry.parts().clock.now();
-                let waits = camphorway_model::PerRank(waits);
-                self.entry
-                    .memory()
-                    .admission
-                    .report(&self.request.group, waits, now);
+                let mut memory = self.entry.memory();
+                memory.admission.report(&self.request.group, report, now);
             }
+            SeatEvent::Shard(reply) => self.take_reply(reply, round).await,
+            SeatEvent::Done => round.active -= 1,
             SeatEvent::Unsent => {
                 round.active -= 1;
                 if round.active == 0 {
@@ -270,17 +268,16 @@
 impl SeatExchange {
     /// Asks the holder in this process.
     async fn run_here(self) {
-        self.tell(SeatEvent::Acknowledged).await;
-        let group = self.request.group.clone();
-        let (replies, results) = async_channel::bounded(self.request.shards.len().max(1));
         let holder = &self.entry.parts().holder;
+        let report = holder.waits(&self.request.group);
+        self.tell(SeatEvent::Acknowledged(report)).await;
+        let (replies, results) = async_channel::bounded(self.request.shards.len().max(1));
         holder.start(self.request.clone(), &replies, &self.cancel);
         drop(replies);
         while let Ok(reply) = results.recv().await {
             self.tell(SeatEvent::Shard(reply)).await;
         }
-        let waits = holder.waits(&group).0;
-        self.tell(SeatEvent::Done(waits)).await;
+        self.tell(SeatEvent::Done).await;
     }
 
     /// Asks the holder of another daemon.
@@ -294,10 +291,19 @@
         };
         loop {
             match PeerLinks::next_frame(peer, &mut receiver).await {
-                Ok(HolderFrame::Ack) => self.tell(SeatEvent::Acknowledged).await,
+                Ok(HolderFrame::Ack {
+                    waits,
+                    service_time,
+                }) => {
+                    let report = WaitReport {
+                        waits: PerRank(waits),
+                        service_time,
+                    };
+                    self.tell(SeatEvent::Acknowledged(report)).await;
+                }
                 Ok(HolderFrame::Shard(reply)) => self.tell(SeatEvent::Shard(reply)).await,
-                Ok(HolderFrame::Done { waits }) => {
-                    self.tell(SeatEvent::Done(waits)).await;
+                Ok(HolderFrame::Done) => {
+                    self.tell(SeatEvent::Done).await;
                     // Kept open until here, since dropping it early would tell the holder to stop.
                     drop(sender);
                     return;
--- a/crates/daemon/src/holder.rs
+++ b/crates/daemon/src/holder.rs
@@ -20,7 +20,7 @@
 use crate::peer::message::{GroupRequest, NotSentReason, ShardReply, ShardResult};
 use crate::task::TaskSpawner;
 use camphorway_model::{BackendServer, GroupId, InstanceName, PerRank, RequestRank, ServerName};
-use camphorway_policy::{CrashReport, HedgePacer, RatioBudget};
+use camphorway_policy::{CrashReport, HedgePacer, RatioBudget, ServerState, WaitReport};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -166,22 +166,30 @@
         lock(&self.ports).values().map(Arc::clone).collect()
     }
 
-    /// The longest wait for a slot among a group's servers, for each rank.
-    pub fn waits(&self, group: &GroupId) -> PerRank<Duration> {
-        let mut waits = PerRank::default();
+    /// The longest wait for a slot among a group's instances, for each rank.
+    pub fn waits(&self, group: &GroupId) -> WaitReport {
+        let mut report = WaitReport {
+            waits: PerRank::default(),
+            service_time: Duration::ZERO,
+        };
         let view = self.view.load();
         let Some(group) = view.groups.groups.get(group) else {
-            return waits;
+            return report;
         };
         let ports = lock(&self.ports);
         for replicas in group.servers.values() {
+            let open = || {
+                let known = replicas.iter().filter_map(|server| ports.get(&server.name));
+                known.filter(|port| port.state() == ServerState::Open)
+            };
             for rank in RequestRank::ALL {
-                let open = replicas.iter().filter_map(|server| ports.get(&server.name));
-                let shortest = open.map(|port| port.expected_wait(rank)).min();
-                waits[rank] = shortest.unwrap_or_default().max(waits[rank]);
+                let shortest = open().map(|port| port.expected_wait(rank)).min();
+                report.waits[rank] = shortest.unwrap_or_default().max(report.waits[rank]);
             }
+            let fastest = open().map(|port| port.service_time()).min();
+            report.service_time = fastest.unwrap_or_default().max(report.service_time);
         }
-        waits
+        report
     }
 
     /// Budgets for calls beyond the first.
--- a/crates/daemon/src/holder/port.rs
+++ b/crates/daemon/src/holder/port.rs
@@ -177,6 +177,11 @@
         self.lock().gate.expected_wait(rank)
     }
 
+    /// How long a call takes once it has a slot.
+    pub fn service_time(&self) -> Duration {
+        self.lock().gate.service_time()
+    }
+
     /// A quantile of the server's time to answer.
     pub fn latency(&self, fraction: f64) -> Option<Duration> {
         self.lock().gate.latency(fraction)
--- a/crates/daemon/src/holder/shard_call.rs
+++ b/crates/daemon/src/holder/shard_call.rs
@@ -53,6 +53,8 @@
     ends: async_channel::Receiver<AttemptEnd>,
     sender: async_channel::Sender<AttemptEnd>,
     used: Vec<usize>,
+    /// Whether a try was cancelled for a more urgent call; it happens once.
+    preempted: bool,
     outstanding: usize,
     sent: bool,
     last: ShardResult,
@@ -82,6 +84,7 @@
             ends,
             sender,
             used: Vec::new(),
+            preempted: false,
             outstanding: 0,
             sent: false,
             last: GroupHolder::unavailable(),
@@ -158,6 +161,10 @@
 
     fn ended(&self, end: AttemptEnd, attempts: &mut Attempts) {
         attempts.outstanding -= 1;
+        if matches!(end, AttemptEnd::Preempted) && attempts.outstanding == 0 {
+            self.restart(attempts);
+            return;
+        }
         let (result, retriable) = match end {
             AttemptEnd::Answered(body) => (ShardResult::Answered(body), false),
             AttemptEnd::NotSent(NotSentReason::Late) => {
@@ -180,6 +187,18 @@
         }
     }
 
+    /// Runs a preempted call again: it was our own decision to stop it, so this
+    /// costs no budget and any server will do.
+    fn restart(&self, attempts: &mut Attempts) {
+        attempts.sent = true;
+        attempts.preempted = true;
+        attempts.used.clear();
+        attempts.last = ShardResult::Failed(FailCause::Refused);
+        if let Some(server) = self.choose(attempts) {
+            self.start(server, CallPurpose::Retry, attempts);
+        }
+    }
+
     fn retry(&self, attempts: &mut Attempts) {
         let Some(server) = self.choose(attempts) else {
             return;
@@ -256,6 +275,7 @@
             shard: self.shard,
             port: Arc::clone(&self.servers[server]),
             purpose,
+            preemptible: !attempts.preempted,
             cancel: attempts.cancel.clone(),
         };
         let sender = attempts.sender.clone();
@@ -280,6 +300,7 @@
     shard: ShardId,
     port: Arc<ServerPort>,
     purpose: CallPurpose,
+    preemptible: bool,
     cancel: CancellationToken,
 }
 
@@ -291,7 +312,9 @@
             rank: request.rank,
             kind: request.kind,
             deadline: self.task.deadline,
-            preemptible: request.idempotent && request.rank == RequestRank::Bulk,
+            preemptible: self.preemptible
+                && request.idempotent
+                && request.rank == RequestRank::Bulk,
             exclusive: request.mode == RunMode::Alone,
         };
         let ask = SlotAsk { call };
--- a/crates/daemon/src/peer/message.rs
+++ b/crates/daemon/src/peer/message.rs
@@ -139,15 +139,18 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum HolderFrame {
     /// The request was read.
-    Ack,
-    /// One shard.
-    Shard(ShardReply),
-    /// All shards were told.
-    Done {
+    Ack {
         /// The wait for a slot of each rank at present.
         #[serde_as(as = "[DurationMicroSeconds<u64>; 3]")]
         waits: [Duration; 3],
+        /// The time that a call takes once it has a slot.
+        #[serde_as(as = "DurationMicroSeconds<u64>")]
+        service_time: Duration,
     },
+    /// One shard.
+    Shard(ShardReply),
+    /// All shards were told.
+    Done,
 }
 
 /// Asks a peer for what it has and the sender lacks.
--- a/crates/daemon/src/peer/serve.rs
+++ b/crates/daemon/src/peer/serve.rs
@@ -166,10 +166,14 @@
         sender: &mut SendStream,
         request: GroupRequest,
     ) -> Result<(), FrameError> {
-        frame::write(sender, &HolderFrame::Ack).await?;
+        let report = self.holder.waits(&request.group);
+        let ack = HolderFrame::Ack {
+            waits: report.waits.0,
+            service_time: report.service_time,
+        };
+        frame::write(sender, &ack).await?;
         let cancel = CancellationToken::new();
         let guard = cancel.clone().drop_guard();
-        let group = request.group.clone();
         let idempotent = request.idempotent;
         let (replies, results) = async_channel::bounded(request.shards.len().max(1));
         self.holder.start(request, &replies, &cancel);
@@ -196,8 +200,7 @@
                 None => break,
             }
         }
-        let waits = self.holder.waits(&group).0;
-        frame::write(sender, &HolderFrame::Done { waits }).await?;
+        frame::write(sender, &HolderFrame::Done).await?;
         let _ = sender.finish();
         Ok(())
     }
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -20,6 +20,8 @@
 const LONGEST_PROBE_GAP: Duration = Duration::from_secs(5);
 const LIMIT_STEP: f64 = 0.1;
 const ASSUMED_SERVICE_TIME: Duration = Duration::from_millis(5);
+/// Time for a cancelled call to give back its slot.
+const CANCEL_TIME: Duration = Duration::from_millis(1);
 const LEAST_TIME_LEFT: Duration = Duration::from_micros(500);
 const DEFAULT_QUEUE_LIMIT: usize = 512;
 
@@ -200,18 +202,33 @@
 
     /// How long a call of `rank` would wait for a slot.
     pub fn expected_wait(&self, rank: RequestRank) -> Duration {
+        if self.is_idle() {
+            return Duration::ZERO;
+        }
+        if rank == RequestRank::Urgent && self.can_preempt() {
+            return CANCEL_TIME;
+        }
         let limit = self.limit.max(1.0);
+        let busy = (self.running.len() as f64 / limit).min(1.0) * 0.5;
+        let waits_for = |other: &RequestRank| *other <= rank || !self.settings.ranked;
         let ahead: usize = RequestRank::ALL
             .into_iter()
-            .filter(|other| *other <= rank || !self.settings.ranked)
+            .filter(waits_for)
             .map(|other| self.queue.len_of(other))
             .sum();
-        let busy = self.running.len() as f64 / limit;
-        let queued = ahead as f64 / limit;
-        if self.is_idle() {
-            return Duration::ZERO;
+        let mut turns = ahead as f64 / limit;
+        let share = self.settings.shares[rank];
+        if self.settings.ranked && share > 0.0 {
+            // Whatever is ahead, the rank gets its guaranteed share of the slots.
+            let own = self.queue.len_of(rank) as f64;
+            turns = turns.min(own / (limit * share));
         }
-        self.service_time().mul_f64(queued + busy.min(1.0) * 0.5)
+        self.service_time().mul_f64(turns + busy)
+    }
+
+    /// How long a call takes once it has a slot.
+    pub fn service_time(&self) -> Duration {
+        self.latency.quantile(0.5).unwrap_or(ASSUMED_SERVICE_TIME)
     }
 
     /// Offers a call; the events say what became of it and of others.
@@ -250,8 +267,17 @@
 
     /// Frees the slot of a granted call.
     pub fn finish(&mut self, id: CallId, end: CallEnd, now: Instant) -> Vec<GateEvent> {
-        let known = self.running.remove(&id).is_some();
-        invariant::check(known, "slot-freed-once", || format!("call {}", id.0));
+        let run = self.running.remove(&id);
+        invariant::check(run.is_some(), "slot-freed-once", || {
+            format!("call {}", id.0)
+        });
+        if let Some(run) = run
+            && matches!(end, CallEnd::Cancelled | CallEnd::NotSent)
+        {
+            let used = now.saturating_duration_since(run.since);
+            let unused = self.service_time().saturating_sub(used);
+            self.queue.refund(run.rank, unused);
+        }
         self.learn(end, now);
         let mut events = Vec::new();
         if self.state != ServerState::Open {
@@ -355,6 +381,16 @@
         );
     }
 
+    /// Whether a running bulk call may be cancelled: not while bulk work has had
+    /// no more than its guaranteed share.
+    fn can_preempt(&self) -> bool {
+        let is_victim =
+            |run: &RunningCall| run.rank == RequestRank::Bulk && run.preemptible && !run.preempted;
+        self.settings.preempt
+            && self.queue.is_above_share(RequestRank::Bulk)
+            && self.running.values().any(is_victim)
+    }
+
     /// Cancels the youngest bulk call if an urgent call had to wait.
     fn preempt_for(&mut self, call: &WaitingCall, events: &mut Vec<GateEvent>) {
         let waits = !events.contains(&GateEvent::Granted(call.id));
@@ -363,7 +399,7 @@
         }
         // One cancellation frees one slot, so urgent calls beyond those cancel no more.
         let cancelling = self.running.values().filter(|run| run.preempted).count();
-        if cancelling >= self.queue.len_of(RequestRank::Urgent) {
+        if cancelling >= self.queue.len_of(RequestRank::Urgent) || !self.can_preempt() {
             return;
         }
         let victim = self
@@ -376,8 +412,4 @@
             events.push(GateEvent::Preempt(*id));
         }
     }
-
-    fn service_time(&self) -> Duration {
-        self.latency.quantile(0.5).unwrap_or(ASSUMED_SERVICE_TIME)
-    }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod quarantine;
 pub mod queue;
 
-pub use admission::{AdmissionDecision, EntryAdmission};
+pub use admission::{AdmissionAsk, AdmissionDecision, EntryAdmission, WaitReport};
 pub use budget::RatioBudget;
 pub use claim::{ClaimDecision, ClaimEntry, ClaimObject, ClaimState, ClaimWindow};
 pub use dispatch::{DispatchLedger, NotRunProof, UnsentToken};
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -149,6 +149,18 @@
         Some(call)
     }
 
+    /// Whether `rank` has had more than its guaranteed share of recent service.
+    pub fn is_above_share(&self, rank: RequestRank) -> bool {
+        let total: f64 = self.usage.0.iter().sum();
+        self.usage[rank] > self.shares[rank] * total
+    }
+
+    /// Gives back the part of a call's `cost` that it did not use.
+    pub fn refund(&mut self, rank: RequestRank, unused: Duration) {
+        let usage = &mut self.usage[rank];
+        *usage = (*usage - unused.as_secs_f64()).max(0.0);
+    }
+
     /// Takes the call that is worth least, if it is worth less than a call of `rank`.
     pub fn evict_below(&mut self, rank: RequestRank) -> Option<WaitingCall> {
         let victim = RequestRank::ALL
--- a/crates/standins/examples/experiment/main.rs
+++ b/crates/standins/examples/experiment/main.rs
@@ -32,6 +32,8 @@
 enum ExperimentName {
     /// One daemon, nine shards: rate, latency and processor time.
     Baseline,
+    /// The streams of the floods without a flood.
+    NoFlood,
     /// Ten times the capacity in bulk work, beside a little urgent work.
     BulkFlood,
     /// Ten times the capacity in urgent work, beside the other ranks.
@@ -50,6 +52,7 @@
     let command = ExperimentCommand::parse();
     let experiment = match command.name {
         ExperimentName::Baseline => sides::baseline(),
+        ExperimentName::NoFlood => sides::no_flood(),
         ExperimentName::BulkFlood => sides::bulk_flood(),
         ExperimentName::UrgentFlood => sides::urgent_flood(),
         ExperimentName::Stragglers => sides::stragglers(),
