--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -23,7 +23,7 @@
     ConfigTracker, GossipMessage, MemberAction, MemberTable, SharedItem, SharedItems, TrackerEvent,
 };
 use camphorway_model::{HeadObject, PartReference};
-use camphorway_policy::{CrashReport, QuarantineTable};
+use camphorway_policy::{ClearReport, CrashReport, QuarantineTable};
 use futures_lite::FutureExt;
 use serde_json::Value;
 use std::collections::{BTreeSet, HashMap};
@@ -177,15 +177,18 @@
                 self.act(actions);
             }
             ControlInput::PullAsked(request, reply) => {
+                self.learn_cleared(&request.cleared);
                 self.learn_crashes(&request.crashes);
                 let answer = PullReply {
                     items: self.items.newer_than(&request.versions),
                     crashes: self.quarantine(|table| table.reports(now)),
+                    cleared: self.quarantine(|table| table.clear_reports(now)),
                 };
                 // The peer has gone if this fails.
                 let _ = reply.try_send(answer);
             }
             ControlInput::Pulled(reply) => {
+                self.learn_cleared(&reply.cleared);
                 self.learn_crashes(&reply.crashes);
                 self.take_items(reply.items);
             }
@@ -250,6 +253,7 @@
         let request = PullRequest {
             versions: self.items.versions(),
             crashes: self.quarantine(|table| table.reports(now)),
+            cleared: self.quarantine(|table| table.clear_reports(now)),
         };
         self.exchange(address, request);
     }
@@ -267,6 +271,13 @@
             .detach();
     }
 
+    fn learn_cleared(&self, reports: &[ClearReport]) {
+        let now = self.parts.clock.now();
+        for report in reports {
+            self.quarantine(|table| table.learn_cleared(report, now));
+        }
+    }
+
     fn learn_crashes(&mut self, reports: &[CrashReport]) {
         let now = self.parts.clock.now();
         let mut news = Vec::new();
@@ -298,6 +309,7 @@
             let request = PullRequest {
                 versions: self.items.versions(),
                 crashes: news.clone(),
+                cleared: Vec::new(),
             };
             self.exchange(peer, request);
         }
--- a/crates/daemon/src/holder/port.rs
+++ b/crates/daemon/src/holder/port.rs
@@ -23,6 +23,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+const CRASH_CHECK_PAUSE: Duration = Duration::from_millis(5);
 
 /// A backend server's gate, pool and state.
 #[derive(Debug)]
@@ -269,21 +270,28 @@
     pub async fn has_crashed(&self) -> bool {
         let before = self.lock().boot;
         let check = async {
-            let mut sender = match connect(self.server.address, &self.spawner).await {
-                Ok(sender) => sender,
-                Err(ConnectError::Refused(_)) => return true,
-                Err(ConnectError::Other(..)) => return false,
-            };
-            let Ok(reply) = sender.send_request(protocol::status_request()).await else {
-                return false;
-            };
-            let boot = protocol::boot_number(reply.headers());
-            before.is_some() && boot.is_some() && boot != before
+            loop {
+                if let Some(crashed) = self.check_process(before).await {
+                    return crashed;
+                }
+                // The system may still be closing the old process's port.
+                self.clock.sleep(CRASH_CHECK_PAUSE).await;
+            }
+        };
+        let checked = self.clock.timeout(CRASH_CHECK_TIMEOUT, check).await;
+        checked.unwrap_or(false)
+    }
+
+    /// One look at the server's port; none if it shows nothing.
+    async fn check_process(&self, before: Option<u64>) -> Option<bool> {
+        let mut sender = match connect(self.server.address, &self.spawner).await {
+            Ok(sender) => sender,
+            Err(ConnectError::Refused(_)) => return Some(true),
+            Err(ConnectError::Other(..)) => return None,
         };
-        self.clock
-            .timeout(CRASH_CHECK_TIMEOUT, check)
-            .await
-            .unwrap_or(false)
+        let reply = sender.send_request(protocol::status_request()).await.ok()?;
+        let boot = protocol::boot_number(reply.headers())?;
+        Some(before.is_some_and(|before| before != boot))
     }
 
     /// The report of a crash that `content` was in. Calls that were lost with
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -154,8 +154,19 @@
         &self.endpoint
     }
 
+    /// Takes over a connection that a peer made.
+    ///
+    /// It comes from the peer's process of now, whereas a connection of ours may
+    /// lead to one that was killed and never said so; so it is used from here on.
+    pub async fn accepted(&self, connection: Connection) {
+        let peer = connection.remote_address();
+        let slot = Arc::clone(lock(&self.links).entry(peer).or_default());
+        *slot.lock().await = Some(connection.clone());
+        self.adopt(connection).await;
+    }
+
     /// Counts a connection, made or accepted, and has its streams read.
-    pub async fn adopt(&self, connection: Connection) {
+    async fn adopt(&self, connection: Connection) {
         self.sweep();
         lock(&self.all).push(connection.clone());
         let _ = self.sink.send(connection).await;
--- a/crates/daemon/src/peer/message.rs
+++ b/crates/daemon/src/peer/message.rs
@@ -5,7 +5,7 @@
 use camphorway_model::{
     GroupId, InstanceName, RequestId, RequestRank, ServiceName, ShardId, SnapshotId,
 };
-use camphorway_policy::{ContentHash, CrashReport, KindHash};
+use camphorway_policy::{ClearReport, ContentHash, CrashReport, KindHash};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMicroSeconds, serde_as};
@@ -160,6 +160,8 @@
     pub versions: Vec<ItemVersion>,
     /// Crashes that the sender knows of.
     pub crashes: Vec<CrashReport>,
+    /// Suspects that succeeded, as far as the sender knows.
+    pub cleared: Vec<ClearReport>,
 }
 
 /// Answers a pull.
@@ -169,4 +171,6 @@
     pub items: Vec<SharedItem>,
     /// Crashes that the receiver knows of.
     pub crashes: Vec<CrashReport>,
+    /// Suspects that succeeded, as far as the receiver knows.
+    pub cleared: Vec<ClearReport>,
 }
--- a/crates/daemon/src/peer/serve.rs
+++ b/crates/daemon/src/peer/serve.rs
@@ -60,7 +60,7 @@
     async fn greet(self, incoming: Incoming) {
         let peer = incoming.remote_address();
         match incoming.await {
-            Ok(connection) => self.links.adopt(connection).await,
+            Ok(connection) => self.links.accepted(connection).await,
             Err(cause) => {
                 self.metrics.refused_peers.inc();
                 event!(Warn, "peer-refused", peer = peer, cause = cause);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,5 +24,5 @@
 pub use gate::{CallEnd, GateEvent, GateSettings, ServerGate, ServerState};
 pub use hedge::HedgePacer;
 pub use latency::LatencyWindow;
-pub use quarantine::{ContentHash, ContentVerdict, CrashReport, QuarantineTable};
+pub use quarantine::{ClearReport, ContentHash, ContentVerdict, CrashReport, QuarantineTable};
 pub use queue::{CallId, KindHash, RankedQueue, WaitingCall};
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -62,6 +62,16 @@
     pub age_ms: u64,
 }
 
+/// A suspect that succeeded, as told to other daemons: its crashes before that
+/// time speak against it no longer.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ClearReport {
+    /// The content.
+    pub content: ContentHash,
+    /// How long ago it succeeded, in milliseconds.
+    pub age_ms: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Crash {
     server: ServerName,
@@ -80,6 +90,8 @@
 pub struct QuarantineTable {
     suspects: HashMap<ContentHash, Suspect>,
     proven: HashMap<ContentHash, Instant>,
+    /// When contents that were suspect succeeded.
+    cleared: HashMap<ContentHash, Instant>,
     proven_order: VecDeque<ContentHash>,
 }
 
@@ -119,6 +131,10 @@
         if !self.suspects.contains_key(&report.content) && self.suspects.len() >= MOST_SUSPECTS {
             return false;
         }
+        let cleared = self.cleared.get(&report.content);
+        if cleared.is_some_and(|cleared| at <= *cleared) {
+            return false;
+        }
         self.proven.remove(&report.content);
         let suspect = self.suspects.entry(report.content).or_default();
         let crash = Crash {
@@ -137,12 +153,8 @@
 
     /// `content` was answered by a backend server.
     pub fn succeeded(&mut self, content: ContentHash, now: Instant) {
-        if self
-            .suspects
-            .get(&content)
-            .is_some_and(|suspect| suspect.held_since.is_none())
-        {
-            self.suspects.remove(&content);
+        if self.suspects.contains_key(&content) {
+            self.clear(content, now);
         }
         if self.proven.insert(content, now).is_none() {
             self.proven_order.push_back(content);
@@ -154,6 +166,48 @@
         }
     }
 
+    /// Takes another daemon's word that a suspect succeeded; false if it was known.
+    pub fn learn_cleared(&mut self, report: &ClearReport, now: Instant) -> bool {
+        let at = now
+            .checked_sub(Duration::from_millis(report.age_ms))
+            .unwrap_or(now);
+        if now.saturating_duration_since(at) >= SUSPECT_LIFETIME {
+            return false;
+        }
+        let is_known = self.cleared.contains_key(&report.content);
+        self.clear(report.content, at);
+        !is_known
+    }
+
+    fn clear(&mut self, content: ContentHash, at: Instant) {
+        let cleared = self.cleared.entry(content).or_insert(at);
+        *cleared = at.max(*cleared);
+        let Some(suspect) = self.suspects.get_mut(&content) else {
+            return;
+        };
+        if suspect.held_since.is_some() {
+            return;
+        }
+        suspect.crashes.retain(|_, crash| crash.at > at);
+        if suspect.crashes.is_empty() {
+            self.suspects.remove(&content);
+        }
+    }
+
+    /// All successes of suspects that are still remembered.
+    pub fn clear_reports(&self, now: Instant) -> Vec<ClearReport> {
+        let mut reports: Vec<ClearReport> = self
+            .cleared
+            .iter()
+            .map(|(content, at)| ClearReport {
+                content: *content,
+                age_ms: now.saturating_duration_since(*at).as_millis() as u64,
+            })
+            .collect();
+        reports.sort_by_key(|report| report.content);
+        reports
+    }
+
     /// All crashes that are still remembered, to be told to others.
     pub fn reports(&self, now: Instant) -> Vec<CrashReport> {
         let mut reports = Vec::new();
@@ -176,10 +230,12 @@
     pub fn digest(&self) -> u64 {
         let sum =
             |digest: u64, id: &u64| digest.wrapping_add(id.wrapping_mul(0x9E37_79B9_7F4A_7C15));
-        self.suspects
+        let crashes = self
+            .suspects
             .values()
-            .flat_map(|suspect| suspect.crashes.keys())
-            .fold(0, sum)
+            .flat_map(|suspect| suspect.crashes.keys());
+        let cleared = self.cleared.keys().map(|content| &content.0);
+        crashes.chain(cleared).fold(0, sum)
     }
 
     /// Number of suspects and, among them, of held contents.
@@ -198,6 +254,8 @@
     }
 
     fn forget_old(&mut self, now: Instant) {
+        let is_recent = |at: &Instant| now.saturating_duration_since(*at) < SUSPECT_LIFETIME;
+        self.cleared.retain(|_, at| is_recent(at));
         self.suspects.retain(|_, suspect| {
             let lifetime = if suspect.held_since.is_some() {
                 HELD_LIFETIME
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -273,7 +273,7 @@
             };
             self.spec.shape.domains.iter().map(of_domain).collect()
         };
-        for names in groups {
+        for names in groups.into_iter().filter(|names| !names.is_empty()) {
             let servers = self.spawn_servers(names)?;
             self.servers.push(servers);
         }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -2,6 +2,10 @@
 //! platform and the backend servers.
 
 mod caller_port;
+mod once;
 mod peers;
+mod poison;
+mod replies;
 mod settings;
+mod snapshots;
 mod whole_path;
