Property tests of the decisions; a rank is charged only for what ran

Ruled out: preemption (off), decay of usage. Change: the charge is made when the call starts. Faults between sections now name the line of the section.

--- /dev/null
+++ b/crates/gossip/tests/all/configuration.rs
@@ -0,0 +1,90 @@
+//! Configurations are taken whole, valid and in order, whatever arrives.
+
+use camphorway_gossip::tracker::head_item;
+use camphorway_gossip::{ConfigTracker, SharedItem, SharedItems, TrackerEvent};
+use camphorway_model::{Generation, HeadObject, PartReference};
+use proptest::prelude::*;
+use std::sync::Arc;
+
+fn valid(generation: u64) -> String {
+    format!("[service portal]\nmerge = concat\nlayout = portal\ncoverage-target = 0.{generation}\n")
+}
+
+fn head(generation: u64, text: &str) -> HeadObject {
+    HeadObject {
+        generation: Generation(generation),
+        mark: "test".to_owned(),
+        parts: vec![PartReference::to_text("main", text)],
+    }
+}
+
+fn part(text: &str) -> SharedItem {
+    SharedItem {
+        key: PartReference::to_text("main", text).object_key(),
+        version: 1,
+        text: Arc::from(text),
+    }
+}
+
+#[test]
+fn half_a_configuration_waits() {
+    let mut tracker = ConfigTracker::default();
+    let mut items = SharedItems::default();
+    items.offer(head_item(&head(1, &valid(1))));
+    assert!(matches!(
+        tracker.offer_items(&items),
+        TrackerEvent::Incomplete(_)
+    ));
+    assert_eq!(tracker.generation(), Generation(0));
+    items.offer(part(&valid(1)));
+    assert!(matches!(
+        tracker.offer_items(&items),
+        TrackerEvent::Adopted(_)
+    ));
+}
+
+#[test]
+fn invalid_configuration_leaves_the_old_one() {
+    let mut tracker = ConfigTracker::default();
+    let mut items = SharedItems::default();
+    items.offer(part(&valid(1)));
+    items.offer(head_item(&head(1, &valid(1))));
+    tracker.offer_items(&items);
+    let bad = "[service portal]\nmerge = average\n";
+    items.offer(part(bad));
+    items.offer(head_item(&head(2, bad)));
+    let TrackerEvent::Refused(faults) = tracker.offer_items(&items) else {
+        panic!("it must be refused");
+    };
+    assert_eq!(
+        faults[0].to_string(),
+        "main:2: [service portal] merge: `average` is not allowed; allowed: concat, sum"
+    );
+    assert_eq!(tracker.generation(), Generation(1));
+    items.offer(part(&valid(3)));
+    items.offer(head_item(&head(3, &valid(3))));
+    assert!(matches!(
+        tracker.offer_items(&items),
+        TrackerEvent::Adopted(_)
+    ));
+}
+
+proptest! {
+    #[test]
+    fn nothing_reverts_and_all_end_alike(order in prop::collection::vec((1..8_u64, any::<bool>()), 1..60)) {
+        let mut tracker = ConfigTracker::default();
+        let mut items = SharedItems::default();
+        let mut highest = Generation(0);
+        for (generation, is_part) in order {
+            let text = valid(generation);
+            items.offer(if is_part { part(&text) } else { head_item(&head(generation, &text)) });
+            tracker.offer_items(&items);
+            prop_assert!(tracker.generation() >= highest);
+            highest = tracker.generation();
+        }
+        items.offer(part(&valid(9)));
+        items.offer(head_item(&head(9, &valid(9))));
+        tracker.offer_items(&items);
+        prop_assert_eq!(tracker.generation(), Generation(9));
+    }
+}
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -67,16 +67,17 @@
     pub fn parse(parts: &[(&str, &str)]) -> Result<Self, Vec<IniFault>> {
         let mut faults = Vec::new();
         let mut configuration = Self::default();
-        let mut titles = BTreeMap::new();
+        let mut titles: BTreeMap<String, IniFault> = BTreeMap::new();
         for (file, text) in parts {
             for section in ini::parse(file, text, &mut faults) {
                 let (kind, name) = section.title();
                 let (kind, name) = (kind.to_owned(), name.to_owned());
-                let title = (kind.clone(), name.clone());
-                if let Some(first) = titles.insert(title, (*file).to_owned())
-                    && first != *file
+                let place = section.fault_at("-", "");
+                let title = format!("{kind} {name}");
+                if let Some(first) = titles.insert(title, place)
+                    && first.file != *file
                 {
-                    let problem = format!("section is repeated, first in {first}");
+                    let problem = format!("section is repeated, first in {}", first.file);
                     faults.push(section.fault_at("-", &problem));
                 }
                 if name.is_empty() != (kind == "policy") {
@@ -100,7 +101,7 @@
                 }
             }
         }
-        configuration.check_references(parts, &mut faults);
+        configuration.check_references(&titles, &mut faults);
         if faults.is_empty() {
             Ok(configuration)
         } else {
@@ -110,12 +111,12 @@
     }
 
     /// Checks what no single section shows.
-    fn check_references(&self, parts: &[(&str, &str)], faults: &mut Vec<IniFault>) {
-        let file = parts.first().map_or("-", |(file, _)| file);
+    fn check_references(&self, places: &BTreeMap<String, IniFault>, faults: &mut Vec<IniFault>) {
         let mut report = |section: String, key: &str, problem: String| {
+            let place = places.get(&section);
             faults.push(IniFault {
-                file: file.to_owned(),
-                line: 0,
+                file: place.map_or("-", |place| &place.file).to_owned(),
+                line: place.map_or(0, |place| place.line),
                 section,
                 key: key.to_owned(),
                 problem,
@@ -149,7 +150,9 @@
             .sum();
         if total > 1.0 {
             let problem = format!("shares add up to {total}; allowed: at most 1");
-            report("rank".to_owned(), "share", problem);
+            let set = RequestRank::ALL.map(|rank| format!("rank {rank}"));
+            let last = set.into_iter().rfind(|title| places.contains_key(title));
+            report(last.unwrap_or_default(), "share", problem);
         }
     }
 }
--- /dev/null
+++ b/crates/model/tests/all/configuration.rs
@@ -0,0 +1,71 @@
+//! Every fault of an inventory is reported at once, with file and line.
+
+use camphorway_model::CheckedConfiguration;
+
+fn faults(text: &str) -> String {
+    let faults = CheckedConfiguration::parse(&[("inventory.ini", text)]).expect_err("faults");
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+#[test]
+fn all_faults_are_reported_together() {
+    let text = "\
+[service portal]
+merge = average
+layout = portal
+
+[server a]
+service = portal
+instance = 1
+failure-domain = d
+address = nowhere
+slots = 0
+connections = 5
+colour = red
+
+[rank urgent]
+share = 1.5
+
+[rule one]
+rank = royal
+
+[policy]
+hedging = perhaps
+
+[thing]
+";
+    insta::assert_snapshot!(faults(text));
+}
+
+#[test]
+fn references_are_checked_over_all_parts() {
+    let service = "[service portal]\nmerge = sum\nlayout = portal\n";
+    let server = |name: &str, service: &str| {
+        format!(
+            "[server {name}]\nservice = {service}\ninstance = 1\nfailure-domain = d\n\
+             address = 127.0.0.1:9\nslots = 1\nconnections = 4\n"
+        )
+    };
+    let parts = [
+        ("a.ini", service.to_owned()),
+        ("b.ini", server("x", "portal")),
+    ];
+    let borrowed: Vec<(&str, &str)> = parts
+        .iter()
+        .map(|(file, text)| (*file, text.as_str()))
+        .collect();
+    assert!(CheckedConfiguration::parse(&borrowed).is_ok());
+    let text = format!(
+        "{service}{}{}",
+        server("x", "portal"),
+        server("y", "nowhere")
+    );
+    insta::assert_snapshot!(faults(&text));
+}
+
+#[test]
+fn repeated_sections_are_faults() {
+    let text = "[rank bulk]\nshare = 0.1\n[rank bulk]\nshare = 0.2\n";
+    insta::assert_snapshot!(faults(text), @"inventory.ini:3: [rank bulk] -: section is repeated, first at line 1");
+}
--- a/crates/policy/src/gate.rs
+++ b/crates/policy/src/gate.rs
@@ -339,7 +339,6 @@
     }
 
     fn grant(&mut self, now: Instant, events: &mut Vec<GateEvent>) {
-        let service = self.service_time();
         if let Some(call) = self.next_exclusive
             && self.running.is_empty()
         {
@@ -347,7 +346,7 @@
             self.start(&call, now, events);
         }
         while self.has_slot() {
-            let Some(call) = self.queue.pop(now, service) else {
+            let Some(call) = self.queue.pop(now) else {
                 return;
             };
             let least = self.latency.quantile(0.1).unwrap_or(LEAST_TIME_LEFT);
@@ -371,6 +370,7 @@
             preempted: false,
             since: now,
         };
+        self.queue.charge(call, now, self.service_time());
         self.running.insert(call.id, running);
         events.push(GateEvent::Granted(call.id));
         let slots = self.settings.slots as usize;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -137,16 +137,14 @@
         Some(call)
     }
 
-    /// Takes the next call and charges `cost` of server time to its rank and kind.
-    pub fn pop(&mut self, now: Instant, cost: Duration) -> Option<WaitingCall> {
+    /// Takes the next call; charge it once it runs.
+    pub fn pop(&mut self, now: Instant) -> Option<WaitingCall> {
         let id = if self.ranked {
             self.next_ranked(now)?
         } else {
             *self.arrivals.values().next()?
         };
-        let call = self.remove(id)?;
-        self.charge(&call, now, cost);
-        Some(call)
+        self.remove(id)
     }
 
     /// Whether `rank` has had more than its guaranteed share of recent service.
@@ -215,7 +213,8 @@
         next.1.calls.first_key_value().map(|(&(_, id), _)| id)
     }
 
-    fn charge(&mut self, call: &WaitingCall, now: Instant, cost: Duration) {
+    /// Charges `cost` of server time to a call's rank and kind.
+    pub fn charge(&mut self, call: &WaitingCall, now: Instant, cost: Duration) {
         self.decay(now);
         self.usage[call.rank] += cost.as_secs_f64();
         let rank = &mut self.ranks[call.rank];
--- /dev/null
+++ b/crates/policy/tests/all/dispatch.rs
@@ -0,0 +1,26 @@
+//! `not-run` needs proof.
+
+use camphorway_model::RefusalReason;
+use camphorway_policy::UnsentToken;
+
+#[test]
+fn nothing_sent_is_proof() {
+    let ledger = UnsentToken::for_new_request().dispatch();
+    let token = ledger.close().expect("nothing was sent");
+    assert_eq!(
+        token.refuse(RefusalReason::Deadline).reason(),
+        RefusalReason::Deadline
+    );
+}
+
+#[test]
+fn one_call_that_did_not_come_back_is_no_proof() {
+    let mut ledger = UnsentToken::for_new_request().dispatch();
+    ledger.sent(3);
+    ledger.came_back_unsent();
+    ledger.came_back_unsent();
+    let ledger = ledger.close().expect_err("one may have run");
+    let mut ledger = ledger;
+    ledger.came_back_unsent();
+    assert!(ledger.close().is_ok());
+}
--- /dev/null
+++ b/crates/policy/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the decisions, without I/O and with a time of their own.
+
+mod claim;
+mod dispatch;
+mod gate;
+mod hedge;
+mod quarantine;
--- /dev/null
+++ b/crates/policy/tests/all/quarantine.rs
@@ -0,0 +1,105 @@
+//! Crashing content is held, innocent content is not, and it doesn't matter in
+//! which order daemons hear of crashes.
+
+use camphorway_model::{CanaryMode, ServerName};
+use camphorway_policy::{ContentHash, ContentVerdict, CrashReport, QuarantineTable};
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+const CONTENT: ContentHash = ContentHash(1);
+
+fn crash(number: u64, server: &str, alone: bool) -> CrashReport {
+    CrashReport {
+        content: CONTENT,
+        server: ServerName::new(server),
+        crash: number,
+        alone,
+        age_ms: 0,
+    }
+}
+
+fn verdict(table: &mut QuarantineTable, now: Instant) -> ContentVerdict {
+    table.verdict(CONTENT, CanaryMode::Suspects, now)
+}
+
+#[test]
+fn second_crash_on_another_server_holds_and_ends_by_itself() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    assert_eq!(verdict(&mut table, now), ContentVerdict::Free);
+    table.crashed(&crash(1, "a", false), now);
+    assert_eq!(verdict(&mut table, now), ContentVerdict::SuspectAlone);
+    table.crashed(&crash(2, "b", true), now);
+    assert!(matches!(verdict(&mut table, now), ContentVerdict::Held(_)));
+    let later = now + Duration::from_secs(31);
+    assert_eq!(verdict(&mut table, later), ContentVerdict::Free);
+}
+
+#[test]
+fn bystander_of_two_crashes_stays_a_suspect_and_is_cleared() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    table.crashed(&crash(1, "a", false), now);
+    table.crashed(&crash(2, "b", false), now);
+    assert_eq!(verdict(&mut table, now), ContentVerdict::SuspectAlone);
+    table.succeeded(CONTENT, now);
+    assert_eq!(verdict(&mut table, now), ContentVerdict::Free);
+}
+
+#[test]
+fn old_news_does_not_undo_a_success() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    table.crashed(&crash(1, "a", true), now);
+    table.succeeded(CONTENT, now + Duration::from_secs(1));
+    let mut old = crash(1, "a", true);
+    old.age_ms = 2_000;
+    let later = now + Duration::from_secs(2);
+    assert!(!table.crashed(&old, later));
+    table.crashed(&crash(2, "a", true), later);
+    assert_eq!(verdict(&mut table, later), ContentVerdict::SuspectAlone);
+}
+
+#[test]
+fn always_sends_a_canary_until_content_is_proven() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    let mode = CanaryMode::Always;
+    assert_eq!(
+        table.verdict(CONTENT, mode, now),
+        ContentVerdict::CanaryFirst
+    );
+    table.succeeded(CONTENT, now);
+    assert_eq!(table.verdict(CONTENT, mode, now), ContentVerdict::Free);
+}
+
+proptest! {
+    #[test]
+    fn order_and_repetition_of_reports_do_not_matter(
+        crashes in prop::collection::vec((1..5_u64, 0..3_usize, any::<bool>()), 1..8),
+        seed in any::<u64>(),
+    ) {
+        let now = Instant::now();
+        let names = ["a", "b", "c"];
+        // A crash has one server and one circumstance, whoever tells of it.
+        let mut reports: Vec<CrashReport> = Vec::new();
+        for (number, server, alone) in crashes {
+            if reports.iter().all(|report| report.crash != number) {
+                reports.push(crash(number, names[server], alone));
+            }
+        }
+        let mut shuffled = reports.clone();
+        shuffled.extend(reports.iter().cloned());
+        fastrand::Rng::with_seed(seed).shuffle(&mut shuffled);
+        let mut first = QuarantineTable::default();
+        let mut second = QuarantineTable::default();
+        for report in &reports {
+            first.crashed(report, now);
+        }
+        for report in &shuffled {
+            second.crashed(report, now);
+        }
+        prop_assert_eq!(first.digest(), second.digest());
+        prop_assert_eq!(verdict(&mut first, now), verdict(&mut second, now));
+    }
+}
