Claims remember their objects; conflicts spread out; slopes tool

Cause: at 100 requests/s that run at most once p99 was 782 ms: each request cost 3.7-4.0 store calls against a budget of 100 a second and daemon, one of them a read of an object that the same daemon had just written, and daemons that met a conflict came back together. Ruled out: number of objects; 32 buckets in place of 8 gave fewer conflicts (157 -> 71) but less batching, p99 1178 ms at 100/s and 598 of 1500 complete at 300/s in place of 1208, so reverted to 8. Change: objects as last seen are kept after their worker ends; a short random pause after a conflict.

--- a/crates/daemon/src/store/claims.rs
+++ b/crates/daemon/src/store/claims.rs
@@ -12,14 +12,16 @@
 use camphorway_model::RequestId;
 use camphorway_policy::claim::{ClaimState, object_key};
 use camphorway_policy::{ClaimDecision, ClaimObject};
-use std::collections::HashMap;
 use std::collections::hash_map::Entry;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 const GATHER: Duration = Duration::from_millis(2);
+const MOST_CONFLICT_PAUSE: Duration = Duration::from_millis(6);
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 const LONGEST_BACKOFF: Duration = Duration::from_secs(2);
+const MOST_SEEN: usize = 32;
 const MOST_WAITING: usize = 4_096;
 const MOST_OBJECT_BYTES: usize = 900_000;
 
@@ -67,6 +69,8 @@
     clock: DaemonClock,
     spawner: TaskSpawner,
     queues: Mutex<HashMap<String, Vec<ClaimOperation>>>,
+    /// Objects as last seen, which save a read if nobody wrote since.
+    seen: Mutex<BTreeMap<String, CachedObject>>,
 }
 
 impl ClaimKeeper {
@@ -77,6 +81,7 @@
             clock,
             spawner,
             queues: Mutex::default(),
+            seen: Mutex::default(),
         }
     }
 
@@ -139,13 +144,14 @@
 
     /// Serves one object until nothing waits for it.
     async fn work(self: Arc<Self>, key: String) {
-        let mut cached = None;
+        let mut cached = self.recall(&key);
         let mut backoff = FIRST_BACKOFF;
         let mut operations = Vec::new();
         loop {
             self.clock.sleep(GATHER).await;
             operations.append(&mut self.take(&key));
             if operations.is_empty() {
+                self.remember(&key, cached.clone());
                 if self.retire(&key) {
                     return;
                 }
@@ -158,7 +164,13 @@
                         settle(&cached.object, std::mem::take(&mut operations));
                     }
                 }
-                Ok(false) => cached = None,
+                Ok(false) => {
+                    cached = None;
+                    // The others who met the same conflict should not all come back at once.
+                    self.clock
+                        .sleep(MOST_CONFLICT_PAUSE.mul_f64(fastrand::f64()))
+                        .await;
+                }
                 Err(error) => {
                     cached = None;
                     event!(
@@ -183,6 +195,22 @@
             .unwrap_or_default()
     }
 
+    fn recall(&self, key: &str) -> Option<CachedObject> {
+        lock(&self.seen).get(key).cloned()
+    }
+
+    fn remember(&self, key: &str, cached: Option<CachedObject>) {
+        let mut seen = lock(&self.seen);
+        match cached {
+            Some(cached) => seen.insert(key.to_owned(), cached),
+            None => seen.remove(key),
+        };
+        // Keys begin with their minute, so the first one is the oldest.
+        while seen.len() > MOST_SEEN {
+            seen.pop_first();
+        }
+    }
+
     /// Ends the worker unless an operation came in the meantime.
     fn retire(&self, key: &str) -> bool {
         let mut queues = self.lock();
@@ -285,10 +313,14 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<String, Vec<ClaimOperation>>> {
-        self.queues.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.queues)
     }
 }
 
+fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// How far operations changed an object.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Applied {
--- /dev/null
+++ b/crates/standins/examples/slopes/control.rs
@@ -0,0 +1,196 @@
+//! Slopes of control: membership, configuration, inventory.
+
+use camphorway_standins::experiment::{process_cpu, process_memory, put_in_force, thread_cpu};
+use camphorway_standins::fleet::{Fleet, FleetSpec};
+use camphorway_standins::http;
+use camphorway_standins::shape::{FleetShape, InstancePlacement};
+use std::io;
+use std::time::{Duration, Instant};
+
+const DAEMON_COUNTS: [usize; 4] = [9, 30, 60, 100];
+const CHANGE_COUNTS: [usize; 3] = [9, 30, 100];
+const SERVER_COUNTS: [usize; 3] = [760, 2_280, 7_600];
+const SETTLE: Duration = Duration::from_secs(15);
+const MEASURE: Duration = Duration::from_secs(15);
+const CHANGES: u32 = 5;
+
+/// What one daemon has used so far.
+#[derive(Clone, Copy, Default)]
+struct DaemonUse {
+    control_cpu: f64,
+    all_cpu: f64,
+    wire_bytes: f64,
+    wire_packets: f64,
+    memory: f64,
+    connections: f64,
+}
+
+fn mean_use(fleet: &Fleet) -> io::Result<DaemonUse> {
+    let mut sum = DaemonUse::default();
+    let count = fleet.daemons.len() as f64;
+    for (index, daemon) in fleet.daemons.iter().enumerate() {
+        let Some(process) = &daemon.process else {
+            continue;
+        };
+        let wire = fleet.state(index)?["wire"].clone();
+        let number = |name: &str| wire[name].as_f64().unwrap_or_default();
+        sum.control_cpu += thread_cpu(process.id(), "control") / count;
+        sum.all_cpu += process_cpu(process.id()) / count;
+        sum.wire_bytes += (number("sent_bytes") + number("received_bytes")) / count;
+        sum.wire_packets += (number("sent_packets") + number("received_packets")) / count;
+        sum.memory += process_memory(process.id()) as f64 / count;
+        sum.connections += number("connections") / count;
+    }
+    Ok(sum)
+}
+
+fn quiet_spec(daemons: usize) -> FleetSpec {
+    let mut spec = FleetSpec::new(FleetShape::simple(1, 3));
+    spec.daemons = daemons;
+    spec.run_servers = false;
+    spec
+}
+
+/// Control traffic of idle daemons in one failure domain.
+pub fn daemons() -> io::Result<()> {
+    println!(
+        "idle daemons of one failure domain, per daemon, {} s",
+        MEASURE.as_secs()
+    );
+    println!("daemons  control CPU %  all CPU %  UDP bytes/s  datagrams/s  memory MB  connections");
+    for count in DAEMON_COUNTS {
+        let fleet = Fleet::start(quiet_spec(count))?;
+        std::thread::sleep(SETTLE);
+        let before = mean_use(&fleet)?;
+        let began = Instant::now();
+        std::thread::sleep(MEASURE);
+        let after = mean_use(&fleet)?;
+        let seconds = began.elapsed().as_secs_f64();
+        println!(
+            "{count:>7}  {:>13.3}  {:>9.3}  {:>11.0}  {:>11.1}  {:>9.1}  {:>11.1}",
+            (after.control_cpu - before.control_cpu) / seconds * 100.0,
+            (after.all_cpu - before.all_cpu) / seconds * 100.0,
+            (after.wire_bytes - before.wire_bytes) / seconds,
+            (after.wire_packets - before.wire_packets) / seconds,
+            after.memory / 1e6,
+            after.connections
+        );
+    }
+    Ok(())
+}
+
+/// Time until a change is in force at all daemons, and the calls it costs.
+pub fn changes() -> io::Result<()> {
+    println!("configuration changes, mean and slowest of {CHANGES}");
+    println!("daemons  mean ms  slowest ms  store calls a change  UDP bytes a change and daemon");
+    for count in CHANGE_COUNTS {
+        let mut fleet = Fleet::start(quiet_spec(count))?;
+        std::thread::sleep(Duration::from_secs(5));
+        let inventory = fleet.inventory.clone();
+        let calls = platform_calls(&fleet)?;
+        let bytes = mean_use(&fleet)?.wire_bytes;
+        let began_all = Instant::now();
+        let mut total = Duration::ZERO;
+        let mut slowest = Duration::ZERO;
+        for change in 0..CHANGES {
+            let text = format!("{inventory}\n[rule r{change}]\nrank = bulk\n");
+            let began = Instant::now();
+            put_in_force(&mut fleet, &text)?;
+            total += began.elapsed();
+            slowest = slowest.max(began.elapsed());
+        }
+        let idle = idle_rates(&fleet)?;
+        let seconds = began_all.elapsed().as_secs_f64() - MEASURE.as_secs_f64();
+        let calls = platform_calls(&fleet)? - calls - idle.0 * (seconds + MEASURE.as_secs_f64());
+        let bytes =
+            mean_use(&fleet)?.wire_bytes - bytes - idle.1 * (seconds + MEASURE.as_secs_f64());
+        println!(
+            "{count:>7}  {:>7.0}  {:>10.0}  {:>20.1}  {:>29.0}",
+            (total / CHANGES).as_secs_f64() * 1e3,
+            slowest.as_secs_f64() * 1e3,
+            calls / f64::from(CHANGES),
+            bytes / f64::from(CHANGES)
+        );
+        println!("         idle: {:.2} store calls/s in all", idle.0);
+    }
+    Ok(())
+}
+
+/// Store calls a second of the fleet, and bytes a second of a daemon, at rest.
+fn idle_rates(fleet: &Fleet) -> io::Result<(f64, f64)> {
+    let calls = platform_calls(fleet)?;
+    let bytes = mean_use(fleet)?.wire_bytes;
+    std::thread::sleep(MEASURE);
+    let seconds = MEASURE.as_secs_f64();
+    let calls = (platform_calls(fleet)? - calls) / seconds;
+    let bytes = (mean_use(fleet)?.wire_bytes - bytes) / seconds;
+    Ok((calls, bytes))
+}
+
+fn platform_calls(fleet: &Fleet) -> io::Result<f64> {
+    let counts = http::get(fleet.platform, "/counts")?.json();
+    let counts = counts.as_object().cloned().unwrap_or_default();
+    let calls = counts
+        .iter()
+        .filter(|(name, _)| !matches!(name.as_str(), "conflict" | "limited"));
+    Ok(calls.filter_map(|(_, count)| count.as_f64()).sum())
+}
+
+/// Memory of one daemon with large inventories, and the time to take them.
+pub fn inventory() -> io::Result<()> {
+    println!("one daemon, servers not running");
+    println!("servers  inventory KB  memory MB  start to ready ms  CPU to start s");
+    for count in SERVER_COUNTS {
+        let mut shape = FleetShape::simple(11, count);
+        shape.placement = InstancePlacement::OneDomain;
+        // One part holds the inventory here, so it must stay under a megabyte.
+        shape.services[0].name = "p".to_owned();
+        let mut spec = FleetSpec::new(shape);
+        spec.run_servers = false;
+        spec.configure = false;
+        let mut fleet = Fleet::start(spec)?;
+        for daemon in &mut fleet.daemons[1..] {
+            daemon.process = None;
+        }
+        fleet.write_layouts(&[1])?;
+        let bytes = fleet.inventory.len();
+        let began = Instant::now();
+        let text = fleet.inventory.clone();
+        apply_in_parts(&mut fleet, &text)?;
+        camphorway_standins::fleet::wait_for(
+            || fleet.state(0).is_ok_and(|state| state["generation"] == 1),
+            "the inventory",
+        )?;
+        let took = began.elapsed();
+        std::thread::sleep(Duration::from_secs(1));
+        let process = fleet.daemons[0]
+            .process
+            .as_ref()
+            .map_or(0, camphorway_standins::fleet::FleetProcess::id);
+        println!(
+            "{count:>7}  {:>12}  {:>9.1}  {:>17.0}  {:>14.2}",
+            bytes / 1_000,
+            process_memory(process) as f64 / 1e6,
+            took.as_secs_f64() * 1e3,
+            process_cpu(process)
+        );
+    }
+    Ok(())
+}
+
+/// Applies an inventory by the operators' own division into parts.
+fn apply_in_parts(fleet: &mut Fleet, text: &str) -> io::Result<()> {
+    let parts = camphorway_model::split::split([text]);
+    let mut references = Vec::new();
+    for part in parts {
+        let reference = camphorway_model::PartReference::to_text(&part.name, &part.text);
+        fleet.put_object(&reference.object_key(), &part.text, 0)?;
+        references.push(reference);
+    }
+    let head = camphorway_model::HeadObject {
+        generation: 1.into(),
+        mark: "slopes".to_owned(),
+        parts: references,
+    };
+    fleet.put_object("config/head", &serde_json::to_string(&head)?, 0)
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -63,6 +63,8 @@
     pub traffic_threads: usize,
     /// Whether the configuration is put into the store at the start.
     pub configure: bool,
+    /// Whether the backend servers run.
+    pub run_servers: bool,
 }
 
 impl FleetSpec {
@@ -78,6 +80,7 @@
             log_level: "info",
             traffic_threads: 1,
             configure: true,
+            run_servers: true,
         }
     }
 }
@@ -239,7 +242,9 @@
             generation: 0,
             spec,
         };
-        fleet.start_servers()?;
+        if fleet.spec.run_servers {
+            fleet.start_servers()?;
+        }
         fleet.add_daemons()?;
         fleet.list_vms(&[])?;
         if fleet.spec.configure {
