--- a/crates/daemon/src/http_port.rs
+++ b/crates/daemon/src/http_port.rs
@@ -15,11 +15,12 @@
 use futures_lite::FutureExt;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -131,43 +132,44 @@
         let head = self.limits.header_bytes.max(SMALLEST_HEAD);
         if http2 {
             let executor = SmolExecutor::new(Arc::clone(self.spawner.executor()));
-            let connection = hyper::server::conn::http2::Builder::new(executor)
+            let connection = http2::Builder::new(executor)
                 .timer(SmolTimer::new())
                 .max_concurrent_streams(MOST_STREAMS)
                 .max_header_list_size(head as u32)
                 .keep_alive_interval(self.limits.read_timeout)
                 .serve_connection(io, service);
-            let mut connection = pin!(connection);
-            let stopped = async {
-                self.stop.cancelled().await;
-                true
-            };
-            let ended = async {
-                let _ = connection.as_mut().await;
-                false
-            };
-            if ended.or(stopped).await {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
-            }
+            self.drive(connection, http2::Connection::graceful_shutdown)
+                .await;
             return;
         }
-        let connection = hyper::server::conn::http1::Builder::new()
+        let connection = http1::Builder::new()
             .timer(SmolTimer::new())
             .header_read_timeout(self.limits.read_timeout)
             .max_buf_size(head)
             .serve_connection(io, service);
+        self.drive(connection, http1::Connection::graceful_shutdown)
+            .await;
+    }
+
+    /// Runs a connection to its end; when the port stops, `shut_down` has it end
+    /// after the requests that it has begun.
+    async fn drive<Driver, ShutDown>(&self, connection: Driver, shut_down: ShutDown)
+    where
+        Driver: Future,
+        ShutDown: FnOnce(Pin<&mut Driver>),
+    {
         let mut connection = pin!(connection);
         let stopped = async {
             self.stop.cancelled().await;
             true
         };
         let ended = async {
+            // Whatever ended it, nobody is left to be told.
             let _ = connection.as_mut().await;
             false
         };
         if ended.or(stopped).await {
-            connection.as_mut().graceful_shutdown();
+            shut_down(connection.as_mut());
             let _ = connection.await;
         }
     }
--- a/crates/gossip/src/membership.rs
+++ b/crates/gossip/src/membership.rs
@@ -6,9 +6,11 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
+use xxhash_rust::xxh3::Xxh3;
 
 const MOST_UPDATES: usize = 8;
 const INDIRECT_PROBES: usize = 2;
+const FAR_PARTNERS: usize = 3;
 
 /// Periods and timeouts of the membership.
 #[derive(Clone, Debug)]
@@ -251,16 +253,9 @@
             .filter(|peer| peer.domain == self.own.domain)
             .cloned()
             .collect();
-        let mut far: Vec<MemberRecord> = self
-            .others()
-            .filter(|peer| peer.domain != self.own.domain)
-            .cloned()
-            .collect();
         self.random.shuffle(&mut near);
-        self.random.shuffle(&mut far);
         near.truncate(fanout);
-        far.truncate(1);
-        near.extend(far);
+        near.extend(self.far_partner());
         near.iter()
             .map(|peer| self.probe(peer, None, now))
             .collect()
@@ -355,7 +350,7 @@
             }
         }
         for _ in 0..self.settings.far_probes {
-            if let Some(peer) = self.random_far() {
+            if let Some(peer) = self.far_partner() {
                 let action = self.probe(&peer, None, now);
                 actions.push(action);
             }
@@ -391,14 +386,24 @@
         self.members.get(&vm).cloned()
     }
 
-    fn random_far(&mut self) -> Option<MemberRecord> {
-        let far: Vec<&MemberRecord> = self
-            .members
-            .values()
-            .filter(|peer| peer.domain != self.own.domain && peer.state != MemberState::Dead)
+    /// One of this member's few partners in other domains.
+    ///
+    /// They stay the same while they live, since a new connection costs as much
+    /// as minutes of probes over an old one.
+    fn far_partner(&mut self) -> Option<MemberRecord> {
+        let own = &self.own;
+        let far = self.members.values();
+        let far = far.filter(|peer| peer.domain != own.domain && peer.state != MemberState::Dead);
+        let mut partners: Vec<(u64, &MemberRecord)> = far
+            .map(|peer| (affinity(&own.vm, &peer.vm), peer))
             .collect();
-        let index = self.random.usize(..far.len().max(1));
-        far.get(index).map(|peer| (*peer).clone())
+        let count = FAR_PARTNERS.min(partners.len());
+        if count == 0 {
+            return None;
+        }
+        partners.select_nth_unstable_by_key(count - 1, |(affinity, _)| *affinity);
+        let index = self.random.usize(..count);
+        Some(partners[index].1.clone())
     }
 
     /// Tries one address that no living member has.
@@ -686,6 +691,15 @@
     }
 }
 
+/// A number that differs for each pair, by which members choose partners.
+fn affinity(own: &VmName, peer: &VmName) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(own.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(peer.as_str().as_bytes());
+    hasher.digest()
+}
+
 fn send(peer: &MemberRecord, message: GossipMessage) -> MemberAction {
     MemberAction::Send {
         to: Some(peer.vm.clone()),
--- a/crates/standins/examples/slopes/control.rs
+++ b/crates/standins/examples/slopes/control.rs
@@ -7,10 +7,9 @@
 use std::io;
 use std::time::{Duration, Instant};
 
-const DAEMON_COUNTS: [usize; 4] = [9, 30, 60, 100];
-const CHANGE_COUNTS: [usize; 3] = [9, 30, 100];
 const SERVER_COUNTS: [usize; 3] = [760, 2_280, 7_600];
-const SETTLE: Duration = Duration::from_secs(15);
+/// Long enough for each daemon to have met every other.
+const SETTLE: Duration = Duration::from_secs(60);
 const MEASURE: Duration = Duration::from_secs(15);
 const CHANGES: u32 = 5;
 
@@ -44,22 +43,22 @@
     Ok(sum)
 }
 
-fn quiet_spec(daemons: usize) -> FleetSpec {
-    let mut spec = FleetSpec::new(FleetShape::simple(1, 3));
-    spec.daemons = daemons;
+fn quiet_spec(daemons: usize, domains: usize) -> FleetSpec {
+    let mut spec = FleetSpec::new(FleetShape::simple(domains, 3));
+    spec.daemons = daemons / domains;
     spec.run_servers = false;
     spec
 }
 
-/// Control traffic of idle daemons in one failure domain.
-pub fn daemons() -> io::Result<()> {
+/// Control traffic of idle daemons.
+pub fn daemons(counts: &[usize], domains: usize) -> io::Result<()> {
     println!(
-        "idle daemons of one failure domain, per daemon, {} s",
+        "idle daemons in {domains} failure domains, per daemon, {} s",
         MEASURE.as_secs()
     );
     println!("daemons  control CPU %  all CPU %  UDP bytes/s  datagrams/s  memory MB  connections");
-    for count in DAEMON_COUNTS {
-        let fleet = Fleet::start(quiet_spec(count))?;
+    for count in counts.iter().copied() {
+        let fleet = Fleet::start(quiet_spec(count, domains))?;
         std::thread::sleep(SETTLE);
         let before = mean_use(&fleet)?;
         let began = Instant::now();
@@ -80,12 +79,12 @@
 }
 
 /// Time until a change is in force at all daemons, and the calls it costs.
-pub fn changes() -> io::Result<()> {
+pub fn changes(counts: &[usize], domains: usize) -> io::Result<()> {
     println!("configuration changes, mean and slowest of {CHANGES}");
     println!("daemons  mean ms  slowest ms  store calls a change  UDP bytes a change and daemon");
-    for count in CHANGE_COUNTS {
-        let mut fleet = Fleet::start(quiet_spec(count))?;
-        std::thread::sleep(Duration::from_secs(5));
+    for count in counts.iter().copied() {
+        let mut fleet = Fleet::start(quiet_spec(count, domains))?;
+        std::thread::sleep(SETTLE);
         let inventory = fleet.inventory.clone();
         let calls = platform_calls(&fleet)?;
         let bytes = mean_use(&fleet)?.wire_bytes;
@@ -144,7 +143,7 @@
         let mut shape = FleetShape::simple(11, count);
         shape.placement = InstancePlacement::OneDomain;
         // One part holds the inventory here, so it must stay under a megabyte.
-        shape.services[0].name = "p".to_owned();
+        shape.services[0].name = String::from("p");
         let mut spec = FleetSpec::new(shape);
         spec.run_servers = false;
         spec.configure = false;
--- a/crates/standins/examples/slopes/main.rs
+++ b/crates/standins/examples/slopes/main.rs
@@ -12,6 +12,12 @@
     /// Which slope.
     #[arg(required = true)]
     kinds: Vec<SlopeKind>,
+    /// Numbers of daemons.
+    #[arg(long, value_delimiter = ',', default_value = "9,30,100,155")]
+    daemons: Vec<usize>,
+    /// Failure domains that the daemons are spread over.
+    #[arg(long, default_value_t = 1)]
+    domains: usize,
 }
 
 /// The slopes.
@@ -30,10 +36,11 @@
 }
 
 fn main() -> io::Result<()> {
-    for kind in SlopesCommand::parse().kinds {
+    let command = SlopesCommand::parse();
+    for kind in command.kinds {
         match kind {
-            SlopeKind::Daemons => control::daemons()?,
-            SlopeKind::Changes => control::changes()?,
+            SlopeKind::Daemons => control::daemons(&command.daemons, command.domains)?,
+            SlopeKind::Changes => control::changes(&command.daemons, command.domains)?,
             SlopeKind::Inventory => control::inventory()?,
             SlopeKind::Queries => traffic::queries()?,
             SlopeKind::Claims => traffic::claims()?,
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,9 @@
 
 mod caller_port;
 mod chaos;
+mod examples;
+mod failover;
+mod flood;
 mod leaving;
 mod once;
 mod operator;
