--- a/crates/daemon/src/holder/port.rs
+++ b/crates/daemon/src/holder/port.rs
@@ -438,7 +438,10 @@
 fn gate_settings(server: &BackendServer, view: &TierView) -> GateSettings {
     let rules = &view.config.rules;
     let share = |rank: RequestRank| rules.ranks[rank].share;
-    let mut settings = GateSettings::new(server.slots);
+    // Daemons that hold a group together divide its slots; the configuration's
+    // check keeps seats from outnumbering them.
+    let own_slots = (server.slots / rules.policy.seats.max(1)).max(1);
+    let mut settings = GateSettings::new(own_slots);
     settings.shares = PerRank([
         share(RequestRank::Urgent),
         share(RequestRank::Normal),
--- /dev/null
+++ b/crates/daemon/src/holder/shard_call/attempt.rs
@@ -0,0 +1,297 @@
+//! One try at one backend server: the wait for a slot, the exchange, and what
+//! its end says about call and server.
+
+use crate::event;
+use crate::holder::pool::{PoolError, PooledConnection};
+use crate::holder::port::{ServerPort, SlotAsk, SlotPermit};
+use crate::holder::protocol::{self, ReplyKind, ServerRequest};
+use crate::holder::{GroupHolder, ShardTask};
+use crate::http_port::read_body;
+use crate::metrics::CallPurpose;
+use crate::peer::message::{FailCause, NotSentReason, RunMode};
+use bytes::Bytes;
+use camphorway_model::{RequestRank, ShardId};
+use camphorway_policy::{CallEnd, CallId, CrashReport, WaitingCall};
+use futures_lite::FutureExt;
+use hyper::Response;
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+const MOST_ANSWER: usize = 8 * 1_048_576;
+/// How long a cancelled call may still hold its connection.
+pub(super) const CANCEL_GRACE: Duration = Duration::from_millis(200);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How one try ended.
+#[derive(Debug)]
+pub(super) enum AttemptEnd {
+    Answered(Bytes),
+    NotSent(NotSentReason),
+    NoSnapshot,
+    Crashed(CrashReport),
+    Failed(FailCause),
+    Preempted,
+    Cancelled,
+}
+
+/// One try at one server.
+pub(super) struct Attempt {
+    pub(super) holder: Arc<GroupHolder>,
+    pub(super) task: ShardTask,
+    pub(super) shard: ShardId,
+    pub(super) port: Arc<ServerPort>,
+    pub(super) purpose: CallPurpose,
+    pub(super) preemptible: bool,
+    pub(super) cancel: CancellationToken,
+}
+
+impl Attempt {
+    /// Waits for a slot and calls the server.
+    pub(super) async fn run(self) -> AttemptEnd {
+        let request = &self.task.request;
+        let call = WaitingCall {
+            id: CallId(0),
+            rank: request.rank,
+            kind: request.kind,
+            deadline: self.task.deadline,
+            preemptible: self.preemptible
+                && request.idempotent
+                && request.rank == RequestRank::Bulk,
+            exclusive: request.mode == RunMode::Alone,
+        };
+        let ask = SlotAsk { call };
+        let granted = async { Some(self.port.acquire(&ask).await) };
+        let late = async {
+            self.holder.clock().sleep_until(self.task.deadline).await;
+            Some(Err(NotSentReason::Late))
+        };
+        let cancelled = async {
+            self.cancel.cancelled().await;
+            None
+        };
+        let permit = match granted.or(late).or(cancelled).await {
+            Some(Ok(permit)) => permit,
+            Some(Err(reason)) => return AttemptEnd::NotSent(reason),
+            None => return AttemptEnd::NotSent(NotSentReason::Late),
+        };
+        match self.connect().await {
+            Ok(connection) => self.exchange(permit, connection).await,
+            Err(error) => {
+                self.log("server-connect-failed", &error.to_string());
+                let end = match error {
+                    PoolError::Full(_) => CallEnd::NotSent,
+                    PoolError::Connect(_) => CallEnd::Failed,
+                };
+                permit.end(end);
+                AttemptEnd::NotSent(NotSentReason::Unavailable)
+            }
+        }
+    }
+
+    async fn connect(&self) -> Result<PooledConnection, PoolError> {
+        let checkout = self.port.pool().checkout();
+        let limit = self.holder.clock().timeout(CONNECT_TIMEOUT, checkout).await;
+        limit.unwrap_or_else(|| {
+            let address = self.port.server().address;
+            let error = crate::http_client::ConnectError::Other(address, "timeout".to_owned());
+            Err(PoolError::Connect(error))
+        })
+    }
+
+    /// Sends the call and waits for its reply. The slot is freed only when the
+    /// server is known to have ended the call or the connection is closed.
+    async fn exchange(&self, permit: SlotPermit, mut connection: PooledConnection) -> AttemptEnd {
+        let clock = self.holder.clock();
+        let started = clock.now();
+        let call = self.server_request(&permit, started);
+        self.holder.metrics().called_server(self.purpose);
+        self.log("server-call", "");
+        let mut reply = std::pin::pin!(connection.sender().send_request(call.to_http()));
+        let stopped = async {
+            let preempted = async {
+                permit.preempt.cancelled().await;
+                Stop::Preempted
+            };
+            let cancelled = async {
+                self.cancel.cancelled().await;
+                Stop::Cancelled
+            };
+            let late = async {
+                clock.sleep_until(self.task.deadline).await;
+                Stop::Late
+            };
+            Err(preempted.or(cancelled).or(late).await)
+        };
+        let replied = async { Ok(reply.as_mut().await) };
+        let (outcome, stop) = match replied.or(stopped).await {
+            Ok(outcome) => (Some(outcome), None),
+            Err(stop) => {
+                self.cancel_at_server(call.call);
+                (clock.timeout(CANCEL_GRACE, reply).await, Some(stop))
+            }
+        };
+        let took = clock.now().saturating_duration_since(started);
+        match outcome {
+            Some(Ok(response)) => {
+                let (end, slot) = self.judge(&call, response, took).await;
+                if !matches!(
+                    end,
+                    AttemptEnd::Failed(FailCause::Mismatch | FailCause::Lost)
+                ) {
+                    connection.put_back();
+                }
+                permit.end(if stop.is_some() && slot == CallEnd::Failed {
+                    CallEnd::Cancelled
+                } else {
+                    slot
+                });
+                stop.map_or(end, Stop::end)
+            }
+            Some(Err(cause)) => {
+                drop(connection);
+                self.lost(permit, &cause).await
+            }
+            None => {
+                drop(connection);
+                // A server that ignores both deadline and cancellation may be frozen.
+                permit.end(if stop == Some(Stop::Late) {
+                    CallEnd::Failed
+                } else {
+                    CallEnd::Cancelled
+                });
+                stop.unwrap_or(Stop::Late).end()
+            }
+        }
+    }
+
+    fn server_request(&self, permit: &SlotPermit, now: Instant) -> ServerRequest<'_> {
+        let request = &self.task.request;
+        ServerRequest {
+            request: request.request,
+            call: permit.call(),
+            service: &request.service,
+            shard: self.shard,
+            snapshot: request.snapshot,
+            time_left: self.task.deadline.saturating_duration_since(now),
+            rank: request.rank,
+            idempotent: request.idempotent,
+            body: &request.body,
+        }
+    }
+
+    /// What a reply means for the call and for the slot.
+    async fn judge(
+        &self,
+        call: &ServerRequest<'_>,
+        response: Response<Incoming>,
+        took: Duration,
+    ) -> (AttemptEnd, CallEnd) {
+        let headers = response.headers().clone();
+        if !call.is_answered_by(&headers) {
+            self.holder.metrics().mismatched_replies.inc();
+            self.log("reply-mismatch", "");
+            return (AttemptEnd::Failed(FailCause::Mismatch), CallEnd::Failed);
+        }
+        if let Some(boot) = protocol::boot_number(&headers) {
+            self.port.set_boot(boot);
+        }
+        let kind = protocol::reply_kind(response.status(), &headers);
+        let time_left = self
+            .task
+            .deadline
+            .saturating_duration_since(self.holder.clock().now());
+        let body = read_body(
+            response.into_body(),
+            MOST_ANSWER,
+            time_left.max(CANCEL_GRACE),
+        )
+        .await;
+        let Ok(body) = body else {
+            return (AttemptEnd::Failed(FailCause::Lost), CallEnd::Failed);
+        };
+        match kind {
+            ReplyKind::Answer => (AttemptEnd::Answered(body), CallEnd::Answered { took }),
+            ReplyKind::NoSnapshot(held) => {
+                self.port.set_held(held);
+                (AttemptEnd::NoSnapshot, CallEnd::Cancelled)
+            }
+            ReplyKind::Shed => (AttemptEnd::Failed(FailCause::Refused), CallEnd::Shed),
+            ReplyKind::Draining => (AttemptEnd::Failed(FailCause::Refused), CallEnd::Draining),
+            ReplyKind::Abandoned => (AttemptEnd::Failed(FailCause::Timeout), CallEnd::Cancelled),
+            ReplyKind::Refused => (AttemptEnd::Failed(FailCause::Refused), CallEnd::Failed),
+        }
+    }
+
+    /// The connection was lost in the middle of the call.
+    async fn lost(&self, permit: SlotPermit, cause: &hyper::Error) -> AttemptEnd {
+        self.log("server-connection-lost", &cause.to_string());
+        let running = permit.port().running_at_loss();
+        let crashed = permit.port().has_crashed().await;
+        let report = permit
+            .port()
+            .crash_report(self.task.request.content, running <= 1);
+        permit.end(CallEnd::Failed);
+        if !crashed {
+            return AttemptEnd::Failed(FailCause::Lost);
+        }
+        self.log("server-crashed", "");
+        self.holder.report_crash(report.clone());
+        AttemptEnd::Crashed(report)
+    }
+
+    /// Asks the server to end a call, over another connection.
+    fn cancel_at_server(&self, call: u64) {
+        let port = Arc::clone(&self.port);
+        let clock = self.holder.clock().clone();
+        self.holder.spawner().spawn(async move {
+            let cancel = async {
+                let Ok(mut connection) = port.pool().checkout().await else {
+                    return;
+                };
+                if connection
+                    .sender()
+                    .send_request(protocol::cancel_request(call))
+                    .await
+                    .is_ok()
+                {
+                    connection.put_back();
+                }
+            };
+            clock.timeout(CANCEL_GRACE, cancel).await;
+        });
+    }
+
+    fn log(&self, name: &'static str, cause: &str) {
+        event!(
+            Debug,
+            "server-call",
+            step = name,
+            request = self.task.request.request,
+            shard = self.shard,
+            snapshot = self.task.request.snapshot,
+            server = self.port.server().name,
+            purpose = self.purpose,
+            cause = cause
+        );
+    }
+}
+
+/// Why a call was stopped before its reply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Stop {
+    Preempted,
+    Cancelled,
+    Late,
+}
+
+impl Stop {
+    fn end(self) -> AttemptEnd {
+        match self {
+            Self::Preempted => AttemptEnd::Preempted,
+            Self::Cancelled => AttemptEnd::Cancelled,
+            Self::Late => AttemptEnd::Failed(FailCause::Timeout),
+        }
+    }
+}
--- a/crates/daemon/src/store.rs
+++ b/crates/daemon/src/store.rs
@@ -2,3 +2,4 @@
 
 pub mod claims;
 pub mod client;
+pub mod object;
--- a/crates/model/src/configuration.rs
+++ b/crates/model/src/configuration.rs
@@ -131,6 +131,14 @@
                 let problem = format!("`{}` is not a declared service", server.service);
                 report(section.clone(), "service", problem);
             }
+            let seats = self.rules.policy.seats;
+            if seats > server.slots {
+                let problem = format!(
+                    "{} slots can't be divided among {seats} seats",
+                    server.slots
+                );
+                report(section.clone(), "slots", problem);
+            }
             if let Some(other) = addresses.insert(server.address, &server.name) {
                 let problem = format!("{} is the address of {other} too", server.address);
                 report(section, "address", problem);
--- a/crates/model/tests/all/configuration.rs
+++ b/crates/model/tests/all/configuration.rs
@@ -65,6 +65,25 @@
     insta::assert_snapshot!(faults(&text));
 }
 
+#[test]
+fn seats_must_not_outnumber_slots() {
+    let text = "\
+[service portal]
+merge = sum
+layout = portal
+[server a]
+service = portal
+instance = 1
+failure-domain = d
+address = 127.0.0.1:9
+slots = 2
+connections = 25
+[policy]
+seats = 3
+";
+    insta::assert_snapshot!(faults(text), @"inventory.ini:4: [server a] slots: 2 slots can't be divided among 3 seats");
+}
+
 #[test]
 fn repeated_sections_are_faults() {
     let text = "[rank bulk]\nshare = 0.1\n[rank bulk]\nshare = 0.2\n";
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -1,47 +1,30 @@
 //! A small fleet of real processes on loopback: platform, backend servers and
 //! daemons, each ended by its id when the fleet is dropped.
 
+mod ports;
+mod process;
+
+pub use ports::{free_address, wait_for};
+pub use process::{FleetProcess, kill_started};
+
 use crate::http::{self, HttpReply};
 use crate::load::{LoadStream, fresh_id, query_request};
 use crate::shape::FleetShape;
 use crate::{certificates, shape};
 use camphorway_model::{CheckedConfiguration, HeadObject, PartReference};
 use hyper::Method;
-use rustix::process::{Pid, Signal, kill_process};
+use process::spawn_standin;
 use serde_json::{Value, json};
 use std::fs::{self, File};
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
-
-/// Ports are taken from below the range that the system gives to connections.
-const FIRST_PORT: u32 = 10_000;
-const PORT_COUNT: u32 = 22_000;
-const START_LIMIT: Duration = Duration::from_secs(30);
-const POLL: Duration = Duration::from_millis(20);
+use std::time::Duration;
 
-static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
 
-/// Process ids that this process started and that may still run.
-static STARTED: Mutex<Vec<Pid>> = Mutex::new(Vec::new());
-
-/// Kills whatever fleets of this process still run; for signal handlers.
-pub fn kill_started() {
-    for pid in started().drain(..) {
-        // It may have ended already.
-        let _ = kill_process(pid, Signal::KILL);
-    }
-}
-
-fn started() -> MutexGuard<'static, Vec<Pid>> {
-    STARTED.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// What a fleet is made of.
 #[derive(Clone, Debug)]
 pub struct FleetSpec {
@@ -85,67 +68,6 @@
     }
 }
 
-/// A process of the fleet.
-#[derive(Debug)]
-pub struct FleetProcess {
-    child: Child,
-    log: PathBuf,
-}
-
-impl FleetProcess {
-    /// The process id.
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    /// Sends a signal.
-    ///
-    /// # Errors
-    /// Returns the system's error.
-    pub fn signal(&self, signal: Signal) -> io::Result<()> {
-        let pid = Pid::from_child(&self.child);
-        kill_process(pid, signal).map_err(io::Error::from)
-    }
-
-    fn new(child: Child, log: PathBuf) -> Self {
-        started().push(Pid::from_child(&child));
-        Self { child, log }
-    }
-
-    /// Kills the process and waits for its end.
-    pub fn kill(&mut self) {
-        let own = Pid::from_child(&self.child);
-        started().retain(|pid| *pid != own);
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Waits at most `limit` for the end; its exit code if it ended.
-    pub fn wait(&mut self, limit: Duration) -> Option<i32> {
-        let began = Instant::now();
-        while began.elapsed() < limit {
-            if let Ok(Some(status)) = self.child.try_wait() {
-                return status.code();
-            }
-            std::thread::sleep(POLL);
-        }
-        None
-    }
-
-    /// What the process wrote to standard error.
-    pub fn log(&self) -> String {
-        fs::read_to_string(&self.log).unwrap_or_default()
-    }
-}
-
-impl Drop for FleetProcess {
-    fn drop(&mut self) {
-        // A stopped process can't be told to end, but it can be killed.
-        self.kill();
-    }
-}
-
 /// A daemon of the fleet.
 #[derive(Debug)]
 pub struct FleetDaemon {
@@ -624,40 +546,6 @@
     Err(io::Error::other(format!("{what}: {} {body}", reply.status)))
 }
 
-/// Waits until `done` holds.
-///
-/// # Errors
-/// Returns an error naming `what` if that takes too long.
-pub fn wait_for<Done>(mut done: Done, what: &str) -> io::Result<()>
-where
-    Done: FnMut() -> bool,
-{
-    let began = Instant::now();
-    while began.elapsed() < START_LIMIT {
-        if done() {
-            return Ok(());
-        }
-        std::thread::sleep(POLL);
-    }
-    Err(io::Error::new(
-        io::ErrorKind::TimedOut,
-        format!("waited in vain for {what}"),
-    ))
-}
-
-/// A loopback address whose port is free for TCP and UDP.
-pub fn free_address() -> SocketAddr {
-    let start = std::process::id().wrapping_mul(977);
-    loop {
-        let offset = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
-        let port = FIRST_PORT + start.wrapping_add(offset) % PORT_COUNT;
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 fn fresh_directory() -> io::Result<PathBuf> {
     let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
     let name = format!("camphorway-{}-{number}", std::process::id());
@@ -675,22 +563,3 @@
         .map(Path::to_owned)
         .ok_or_else(|| io::Error::other("no directory of programs"))
 }
-
-/// Starts a stand-in. It ends by itself when its standard input closes, so none
-/// is left if this process is killed.
-fn spawn_standin(
-    binaries: &Path,
-    directory: &Path,
-    name: &str,
-    arguments: &[&str],
-) -> io::Result<FleetProcess> {
-    let log = directory.join(format!("{name}-{}.log", free_address().port()));
-    let file = File::create(&log)?;
-    let child = Command::new(binaries.join("examples").join(name))
-        .args(arguments)
-        .stdin(Stdio::piped())
-        .stdout(Stdio::null())
-        .stderr(file)
-        .spawn()?;
-    Ok(FleetProcess::new(child, log))
-}
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -10,7 +10,7 @@
 use hyper::header::HOST;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
-use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::{FuturesIo, SmolExecutor};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::io;
@@ -224,3 +224,32 @@
         Duration::from_secs(10),
     )
 }
+
+/// Sends one request over an HTTP/2 connection of its own.
+///
+/// # Errors
+/// Returns an error if there was no whole reply.
+pub async fn send_http2(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    executor: &StandinExecutor,
+) -> io::Result<HttpReply> {
+    let stream = TcpStream::connect(address).await?;
+    let runner = SmolExecutor::new(Arc::clone(executor));
+    let (mut sender, connection) =
+        hyper::client::conn::http2::handshake(runner, FuturesIo::new(stream))
+            .await
+            .map_err(io::Error::other)?;
+    let driver = async {
+        let _ = connection.await;
+        std::future::pending().await
+    };
+    let exchange = async {
+        let response = sender
+            .send_request(request)
+            .await
+            .map_err(io::Error::other)?;
+        read_reply(response).await
+    };
+    executor.run(exchange.or(driver)).await
+}
--- a/tests/all/caller_port.rs
+++ b/tests/all/caller_port.rs
@@ -3,7 +3,7 @@
 
 use camphorway_standins::fleet::{Fleet, FleetSpec};
 use camphorway_standins::http;
-use camphorway_standins::load::{LoadStream, fresh_id};
+use camphorway_standins::load::{LoadStream, fresh_id, query_request};
 use camphorway_standins::shape::FleetShape;
 use hyper::Method;
 use std::io::{ErrorKind, Read, Write};
@@ -140,3 +140,16 @@
     };
     camphorway_standins::fleet::wait_for(quiet, "an idle daemon").expect("nothing left");
 }
+
+#[test]
+fn http2_callers_are_served() {
+    let fleet = fleet();
+    let id = fresh_id(&mut fastrand::Rng::new());
+    let stream = LoadStream::new("test", "portal", 1.0, Duration::from_secs(1));
+    let message = query_request(&stream, &id, "serial 4711");
+    let executor = http::StandinExecutor::default();
+    let exchange = http::send_http2(fleet.daemons[0].caller, message, &executor);
+    let reply = async_io::block_on(exchange).expect("an answer");
+    assert_eq!(reply.json()["outcome"], "complete");
+    assert_eq!(reply.header("camphorway-request"), id);
+}
