Failure domains cut from each other on real processes

Cause: cuts were proved on state machines only. Change: an optional advertised address for daemons, and relays between daemons that drop what crosses domains.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -281,7 +281,7 @@
     MemberRecord {
         vm: settings.vm.clone(),
         domain: settings.domain.clone(),
-        address: settings.peer_address,
+        address: settings.advertised_address,
         // A process that starts again on the same VM overrides what is known of the one before.
         incarnation: unix_ms,
         state: MemberState::Alive,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-const DAEMON_KEYS: &str = "vm, failure-domain, caller-address, peer-address, admin-address, \
+const DAEMON_KEYS: &str = "vm, failure-domain, caller-address, peer-address, advertised-address, admin-address, \
                            traffic-threads, log-level, seeds";
 const STORE_KEYS: &str = "address, token-file, calls-per-second";
 const TLS_KEYS: &str = "ca-file, certificate-file, key-file";
@@ -26,6 +26,8 @@
     pub caller_address: SocketAddr,
     /// Where other daemons are served, over UDP.
     pub peer_address: SocketAddr,
+    /// Where other daemons reach it, if not at the address it listens on.
+    pub advertised_address: SocketAddr,
     /// Where operators and the balancer's checks are served.
     pub admin_address: SocketAddr,
     /// Number of threads for traffic.
@@ -190,6 +192,7 @@
     let domain: Option<String> = section.required("failure-domain", "a name", faults);
     let caller_address = section.required("caller-address", address, faults);
     let peer_address = section.required("peer-address", address, faults);
+    let advertised_address = section.optional("advertised-address", address, faults);
     let admin_address = section.required("admin-address", address, faults);
     let threads = section.number_within("traffic-threads", 1.0..=64.0, faults);
     let levels = "off, error, warn, info, debug, trace";
@@ -214,6 +217,7 @@
         domain: FailureDomain::new(&domain?),
         caller_address: caller_address?,
         peer_address: peer_address?,
+        advertised_address: advertised_address.or(peer_address)?,
         admin_address: admin_address?,
         traffic_threads: threads.map_or(2, |count| count as usize),
         log_level: log_level.unwrap_or(LevelFilter::Info),
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -9,6 +9,7 @@
 
 use crate::http::{self, HttpReply};
 use crate::load::{LoadStream, fresh_id, query_request};
+use crate::relay::{self, RelaySwitch};
 use crate::shape::FleetShape;
 use crate::{certificates, shape};
 use camphorway_model::{CheckedConfiguration, HeadObject, PartReference};
@@ -20,12 +21,17 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 static NEXT_FLEET: AtomicU32 = AtomicU32::new(0);
 
 /// What a fleet is made of.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each switch is one property of the fleet"
+)]
 #[derive(Clone, Debug)]
 pub struct FleetSpec {
     /// Inventory and rules.
@@ -48,6 +54,8 @@
     pub configure: bool,
     /// Whether the backend servers run.
     pub run_servers: bool,
+    /// Whether daemons reach each other through relays that can be cut.
+    pub use_relays: bool,
 }
 
 impl FleetSpec {
@@ -64,6 +72,7 @@
             traffic_threads: 1,
             configure: true,
             run_servers: true,
+            use_relays: false,
         }
     }
 }
@@ -77,8 +86,10 @@
     pub domain: String,
     /// Where callers are served.
     pub caller: SocketAddr,
-    /// Where other daemons are served.
+    /// Where other daemons reach it.
     pub peer: SocketAddr,
+    /// Where it listens for other daemons.
+    pub listens: SocketAddr,
     /// Where operators are served.
     pub admin: SocketAddr,
     /// The settings file.
@@ -113,6 +124,8 @@
     pub platform_process: FleetProcess,
     /// The inventory in force.
     pub inventory: String,
+    /// Cuts failure domains off from each other, if there are relays.
+    pub relays: Arc<RelaySwitch>,
     /// Files of the fleet.
     pub directory: PathBuf,
     binaries: PathBuf,
@@ -121,6 +134,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
+        self.relays.stop();
         for daemon in &mut self.daemons {
             daemon.process = None;
         }
@@ -159,6 +173,7 @@
             platform,
             platform_process,
             inventory: inventory.clone(),
+            relays: Arc::default(),
             directory,
             binaries,
             generation: 0,
@@ -260,12 +275,21 @@
         for domain in &domains {
             for number in 1..=self.spec.daemons {
                 let vm = format!("{domain}-entry-{number}");
+                let listens = free_address();
+                let peer = if self.spec.use_relays {
+                    let peer = free_address();
+                    relay::start(&self.relays, peer, listens, domain)?;
+                    peer
+                } else {
+                    listens
+                };
                 let daemon = FleetDaemon {
                     settings: self.directory.join(format!("{vm}.ini")),
                     vm,
                     domain: domain.clone(),
                     caller: free_address(),
-                    peer: free_address(),
+                    peer,
+                    listens,
                     admin: free_address(),
                     process: None,
                 };
@@ -285,13 +309,14 @@
     fn settings_of(&self, daemon: &FleetDaemon, seeds: &str) -> String {
         let directory = self.directory.display();
         format!(
-            "[daemon]\nvm = {}\nfailure-domain = {}\ncaller-address = {}\npeer-address = {}\nadmin-address = {}\n\
+            "[daemon]\nvm = {}\nfailure-domain = {}\ncaller-address = {}\npeer-address = {}\nadvertised-address = {}\nadmin-address = {}\n\
              traffic-threads = {}\nlog-level = {}\nseeds = {seeds}\n\n[store]\naddress = {}\n\n\
              [tls]\nca-file = {directory}/ca.pem\ncertificate-file = {directory}/daemon.pem\nkey-file = {directory}/daemon.key\n\n\
              [limits]\n{}",
             daemon.vm,
             daemon.domain,
             daemon.caller,
+            daemon.listens,
             daemon.peer,
             daemon.admin,
             self.spec.traffic_threads,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod lifetime;
 pub mod load;
 pub mod platform;
+pub mod relay;
 pub mod server;
 pub mod server_control;
 pub mod shape;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 
 mod caller_port;
 mod chaos;
+mod cut;
 mod examples;
 mod failover;
 mod flood;
