--- a/tests/all/leaving.rs
+++ b/tests/all/leaving.rs
@@ -238,3 +238,22 @@
     let reply = fleet.query(0, &stream, None, "").expect("an answer");
     assert_eq!(reply.json()["outcome"], "complete");
 }
+
+#[test]
+fn restart_of_all_daemons_together_keeps_connections_within_limits() {
+    let mut fleet = fleet(2, 3, 1);
+    for round in 0..3 {
+        load::run(&plan(&fleet, 1, round)).expect("a load");
+        for daemon in &mut fleet.daemons {
+            daemon.process = None;
+        }
+        for index in 0..fleet.daemons.len() {
+            fleet.start_daemon(index).expect("a process");
+        }
+        fleet.wait_ready().expect("ready");
+    }
+    let answers = load::run(&plan(&fleet, 1, 9)).expect("a load");
+    assert!(answers.iter().all(|answer| outcome(answer) == "complete"));
+    let over = fleet.server_count("over-connections").expect("counts");
+    assert_eq!(over, 0, "connections beyond a server's limit");
+}
--- a/tests/all/poison.rs
+++ b/tests/all/poison.rs
@@ -1,11 +1,12 @@
 //! Content that ends every backend server that runs it.
 
 use camphorway_standins::fleet::{Fleet, FleetSpec, wait_for};
+use camphorway_standins::http;
 use camphorway_standins::load::{self, LoadPlan, LoadStream};
 use camphorway_standins::server::CRASH_TEXT;
 use camphorway_standins::shape::FleetShape;
 use serde_json::Value;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const INSTANCES: usize = 4;
 const DOMAINS: usize = 3;
@@ -132,3 +133,25 @@
         assert_ne!(body["reason"], "quarantined", "{body}");
     }
 }
+
+#[test]
+fn quarantine_reaches_all_daemons_of_the_domain_in_seconds() {
+    let mut spec = FleetSpec::new(FleetShape::simple(1, INSTANCES));
+    spec.daemons = 3;
+    let fleet = Fleet::start(spec).expect("a fleet");
+    for _ in 0..3 {
+        send(&fleet, 0, CRASH_TEXT);
+    }
+    let began = Instant::now();
+    let holds = |daemon: usize| {
+        let metrics = http::get(fleet.daemons[daemon].admin, "/metrics").expect("metrics");
+        let text = String::from_utf8_lossy(&metrics.body).into_owned();
+        text.contains("camphorway_quarantine{state=\"held\"} 1")
+    };
+    wait_for(|| (0..3).all(holds), "the quarantine").expect("it is known everywhere");
+    let took = began.elapsed();
+    println!("known everywhere after {took:?}");
+    assert!(took < Duration::from_secs(5), "{took:?}");
+    let body = send(&fleet, 2, CRASH_TEXT);
+    assert_eq!(body["outcome"], "not-run", "{body}");
+}
