A refused resend is unknown, not not-run

Cause: found by reading the tests: with the store down, a resend of a request that had run was answered not-run, though the request did run. Ruled out: judging by the id's age. Change: callers mark resends; refusals of a marked resend are unknown, but for an id conflict.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -148,6 +148,7 @@
         let began = self.parts.clock.now();
         let rank = request.rank;
         let id = request.id;
+        let may_have_run = request.is_resend && !request.idempotent;
         let token = UnsentToken::for_new_request();
         let answer = match self.admit(request, began) {
             Ok(admitted) if admitted.request.idempotent => {
@@ -158,6 +159,11 @@
                 CallerAnswer::not_run(&token.refuse(reason)).with_retry_after(retry_after)
             }
         };
+        let answer = if may_have_run {
+            answer.for_resend()
+        } else {
+            answer
+        };
         let took = self.parts.clock.now().saturating_duration_since(began);
         self.parts.metrics.answered(rank, answer.outcome(), took);
         if let Some(reason) = answer.reason() {
--- a/crates/daemon/src/entry/answer.rs
+++ b/crates/daemon/src/entry/answer.rs
@@ -81,6 +81,16 @@
         self
     }
 
+    /// The answer to a request that the caller has sent before and that must not
+    /// run twice: this attempt's refusal says nothing of the earlier ones.
+    pub fn for_resend(mut self) -> Self {
+        let is_conflict = self.reason == Some(RefusalReason::IdConflict);
+        if self.outcome == AnswerOutcome::NotRun && !is_conflict {
+            self.outcome = AnswerOutcome::Unknown;
+        }
+        self
+    }
+
     /// The outcome.
     pub fn outcome(&self) -> AnswerOutcome {
         self.outcome
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -26,6 +26,8 @@
 pub const IDEMPOTENT_HEADER: &str = "camphorway-idempotent";
 /// Chooses the shard of a request that runs at most once.
 pub const KEY_HEADER: &str = "camphorway-key";
+/// `yes` if the caller has sent this id before.
+pub const RESEND_HEADER: &str = "camphorway-resend";
 const MOST_DEADLINE_MS: u64 = 600_000;
 const MOST_NAME: usize = 128;
 
@@ -42,6 +44,8 @@
     pub rank: RequestRank,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether the caller says that it has sent this id before.
+    pub is_resend: bool,
     /// When a canary goes first.
     pub canary: CanaryMode,
     /// Time from arrival until the answer is worthless.
@@ -93,15 +97,13 @@
             None => rules.ranks[rank].deadline,
         };
         let rule_allows = rule.is_none_or(|rule| rule.idempotent);
-        let caller_allows = match text(headers, IDEMPOTENT_HEADER)? {
-            Some("yes") | None => true,
-            Some("no") => false,
-            Some(_) => return Err(error(IDEMPOTENT_HEADER, "allowed: yes, no")),
-        };
+        let caller_allows = yes_or_no(headers, IDEMPOTENT_HEADER)?.unwrap_or(true);
+        let is_resend = yes_or_no(headers, RESEND_HEADER)?.unwrap_or(false);
         Ok(Self {
             id,
             rank,
             idempotent: rule_allows && caller_allows,
+            is_resend,
             canary: rule.map_or(DEFAULT_CANARY, |rule| rule.canary),
             time_limit,
             kind: kind_hash(&service, &caller),
@@ -151,6 +153,15 @@
     }
 }
 
+fn yes_or_no(headers: &HeaderMap, header: &'static str) -> Result<Option<bool>, HeaderError> {
+    match text(headers, header)? {
+        Some("yes") => Ok(Some(true)),
+        Some("no") => Ok(Some(false)),
+        Some(_) => Err(error(header, "allowed: yes, no")),
+        None => Ok(None),
+    }
+}
+
 fn required<'headers>(
     headers: &'headers HeaderMap,
     header: &'static str,
--- a/tests/all/once.rs
+++ b/tests/all/once.rs
@@ -4,8 +4,10 @@
 
 use camphorway_model::RequestId;
 use camphorway_standins::fleet::{Fleet, FleetSpec, wait_for};
+use camphorway_standins::http;
 use camphorway_standins::load::{LoadStream, fresh_id};
 use camphorway_standins::shape::{FleetShape, InstancePlacement};
+use hyper::Method;
 use rustix::process::Signal;
 use serde_json::Value;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -252,3 +254,28 @@
     }
     assert_eq!(runs(&fleet, &id), 1);
 }
+
+#[test]
+fn refused_resend_is_never_not_run() {
+    let fleet = remote_fleet();
+    fleet
+        .switch_server("*", "cut-after-run=on")
+        .expect("a switch");
+    let id = new_id();
+    let first = send(&fleet, 1, &id, "order 12");
+    assert_eq!(first["outcome"], "unknown", "{first}");
+    assert_eq!(runs(&fleet, &id), 1);
+    fleet.switch_platform("down=on").expect("a switch");
+    let headers = [
+        ("camphorway-request", id.as_str()),
+        ("camphorway-service", "portal"),
+        ("camphorway-caller", "orders"),
+        ("camphorway-idempotent", "no"),
+        ("camphorway-resend", "yes"),
+    ];
+    let message = http::request(Method::POST, "/query", &headers, "order 12");
+    let limit = Duration::from_secs(10);
+    let reply = http::call(fleet.daemons[2].caller, message, limit).expect("an answer");
+    assert_eq!(reply.json()["outcome"], "unknown", "{}", reply.json());
+    assert_eq!(runs(&fleet, &id), 1);
+}
