--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -15,6 +15,7 @@
 use crate::peer::link::PeerLinks;
 use crate::peer::message::{PullReply, PullRequest};
 use crate::store::client::{VmKind, VmList, VmState};
+use crate::sync::lock;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use camphorway_gossip::tracker::HEAD_KEY;
@@ -28,7 +29,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
@@ -441,5 +442,5 @@
 pub fn lock_quarantine(
     quarantine: &SharedQuarantine,
 ) -> std::sync::MutexGuard<'_, QuarantineTable> {
-    quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+    lock(quarantine)
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -18,15 +18,16 @@
 use crate::peer::link::PeerLinks;
 use crate::settings::LimitSettings;
 use crate::store::claims::ClaimKeeper;
+use crate::sync::lock;
 use crate::task::TaskSpawner;
 use camphorway_model::{CanaryMode, PerRank, RefusalReason, RequestRank};
 use camphorway_policy::choice::{self, CoverageMemory};
 use camphorway_policy::{
-    AdmissionAsk, AdmissionDecision, ContentVerdict, EntryAdmission, HedgePacer, LatencyWindow,
-    RatioBudget, SilentPeers, UnsentToken,
+    AdmissionDecision, ContentVerdict, EntryAdmission, LatencyWindow, RepeatBudgets, SilentPeers,
+    UnsentToken,
 };
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// An answer this close to its deadline counts as late.
@@ -75,10 +76,8 @@
     pub coverage: CoverageMemory,
     /// Time for a shard's answer to arrive, by failure domain.
     pub latency: HashMap<camphorway_model::FailureDomain, LatencyWindow>,
-    /// For shards asked again while the first answer is awaited.
-    pub hedge: HedgePacer,
-    /// For shards asked again after a failure.
-    pub retry: RatioBudget,
+    /// For shards that are asked again.
+    pub budgets: RepeatBudgets,
     /// Holders that did not acknowledge lately.
     pub silent: SilentPeers,
 }
@@ -117,8 +116,7 @@
             admission: EntryAdmission::default(),
             coverage: CoverageMemory::default(),
             latency: HashMap::new(),
-            hedge: HedgePacer::new(0.0),
-            retry: RatioBudget::new(0.0),
+            budgets: RepeatBudgets::default(),
             silent: SilentPeers::default(),
         };
         Arc::new(Self {
@@ -135,7 +133,7 @@
 
     /// What earlier requests have shown; hold it for short steps only.
     pub fn memory(&self) -> MutexGuard<'_, EntryMemory> {
-        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.memory)
     }
 
     /// A number that differs after each start of the daemon.
@@ -278,13 +276,7 @@
         } else {
             1.0
         };
-        let ask = AdmissionAsk {
-            service: &request.service,
-            rank: request.rank,
-            kind: request.kind,
-            time_left: request.time_limit,
-            coverage_target: target,
-        };
+        let ask = request.admission_ask(target);
         let nearest = service.nearest[snapshot].iter();
         let nearest = nearest.map(|(group, weight)| (group, *weight));
         let mut memory = self.memory();
@@ -321,13 +313,7 @@
         let now = self.entry.parts.clock.now();
         let late = now + LATE_MARGIN >= self.deadline;
         let service = &self.view.services[&self.request.service];
-        let ask = AdmissionAsk {
-            service: &self.request.service,
-            rank: self.request.rank,
-            kind: self.request.kind,
-            time_left: Duration::ZERO,
-            coverage_target: service.entry.coverage_target,
-        };
+        let ask = self.request.admission_ask(service.entry.coverage_target);
         let groups = service.nearest[self.snapshot].keys();
         let mut memory = self.entry.memory();
         memory.admission.finish(&ask, late, groups, now);
--- a/crates/daemon/src/entry/ask.rs
+++ b/crates/daemon/src/entry/ask.rs
@@ -162,7 +162,7 @@
                     merge_worst(worst, ShardResult::Failed(FailCause::Lost));
                 }
                 let may = self.request.mode == RunMode::Free && round.next < round.seats.len();
-                if may && round.active == 0 && self.entry.memory().retry.spend(1) {
+                if may && round.active == 0 && self.entry.memory().budgets.retry.spend(1) {
                     self.start_next(round);
                 }
             }
@@ -205,7 +205,7 @@
         self.mark_silent(round.seats[round.next - 1].address);
         let has_next = round.next < round.seats.len();
         let allowed = self.request.mode == RunMode::Free && has_next;
-        if allowed && self.entry.memory().hedge.spend() {
+        if allowed && self.entry.memory().budgets.hedge.spend() {
             let silent = &round.seats[round.next - 1];
             event!(
                 Info,
--- a/crates/daemon/src/entry/fan_out.rs
+++ b/crates/daemon/src/entry/fan_out.rs
@@ -136,15 +136,7 @@
     fn earn_budgets(&self) {
         let policy = &self.admitted.view.config.rules.policy;
         let shards = self.layout.shards.len();
-        let mut memory = self.entry.memory();
-        memory.hedge.set_ratio(if policy.hedging {
-            policy.hedge_budget
-        } else {
-            0.0
-        });
-        memory.retry.set_ratio(policy.retry_budget);
-        memory.hedge.earn(shards);
-        memory.retry.earn(shards);
+        self.entry.memory().budgets.earn(policy, shards);
     }
 
     /// Whether some shard that has no answer may still get one.
@@ -320,7 +312,7 @@
                 progress.last,
                 Some(ShardResult::NotSent(NotSentReason::Unavailable))
             );
-            if free || self.entry.memory().retry.spend(1) {
+            if free || self.entry.memory().budgets.retry.spend(1) {
                 allowed.push(*index);
             }
         }
@@ -335,7 +327,7 @@
             let window = memory.latency.get(&route.first()?.domain)?;
             delay = delay.max(window.quantile(HEDGE_QUANTILE)?);
         }
-        Some(self.began + memory.hedge.delay(delay))
+        Some(self.began + memory.budgets.hedge.delay(delay))
     }
 
     fn hedge(&mut self) {
@@ -352,7 +344,7 @@
             if has_route
                 && is_slow
                 && !self.has_local_replica(index)
-                && self.entry.memory().hedge.spend()
+                && self.entry.memory().budgets.hedge.spend()
             {
                 allowed.push(index);
             }
--- a/crates/daemon/src/entry/once.rs
+++ b/crates/daemon/src/entry/once.rs
@@ -12,12 +12,13 @@
 use crate::event;
 use crate::peer::message::{GroupRequest, NotSentReason, RunMode, ShardAsk, ShardResult};
 use crate::store::claims::ClaimReply;
+use crate::sync::lock;
 use camphorway_model::{AnswerOutcome, GroupId, RefusalReason, SnapshotLayout};
 use camphorway_policy::claim::{ClaimState, LARGEST_KEPT_ANSWER};
 use camphorway_policy::{ClaimDecision, ClaimWindow, ContentVerdict, UnsentToken};
 use futures_lite::FutureExt;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64;
@@ -90,10 +91,7 @@
 
 impl OnceAttempt {
     fn take_token(&self) -> Option<UnsentToken> {
-        self.token
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take()
+        lock(&self.token).take()
     }
 
     /// Claims and dispatches; none if the deadline refused the request first.
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -4,7 +4,7 @@
 use crate::entry::DEFAULT_CANARY;
 use bytes::Bytes;
 use camphorway_model::{CallerName, CanaryMode, RequestId, RequestRank, ServiceName};
-use camphorway_policy::{ContentHash, KindHash};
+use camphorway_policy::{AdmissionAsk, ContentHash, KindHash};
 use derive_more::Display;
 use hyper::header::HeaderMap;
 use std::time::Duration;
@@ -116,6 +116,19 @@
     }
 }
 
+impl CallerRequest {
+    /// What admission is asked for this request.
+    pub fn admission_ask(&self, coverage_target: f64) -> AdmissionAsk<'_> {
+        AdmissionAsk {
+            service: &self.service,
+            rank: self.rank,
+            kind: self.kind,
+            time_left: self.time_limit,
+            coverage_target,
+        }
+    }
+}
+
 fn kind_hash(service: &ServiceName, caller: &CallerName) -> KindHash {
     let mut hasher = Xxh3::new();
     hasher.update(service.as_str().as_bytes());
--- a/crates/daemon/src/holder.rs
+++ b/crates/daemon/src/holder.rs
@@ -18,11 +18,12 @@
 use crate::holder::shard_call::ShardCall;
 use crate::metrics::DaemonMetrics;
 use crate::peer::message::{GroupRequest, NotSentReason, ShardReply, ShardResult};
+use crate::sync::lock;
 use crate::task::TaskSpawner;
 use camphorway_model::{BackendServer, GroupId, InstanceName, PerRank, RequestRank, ServerName};
-use camphorway_policy::{CrashReport, HedgePacer, RatioBudget, ServerState, WaitReport};
+use camphorway_policy::{CrashReport, RepeatBudgets, ServerState, WaitReport};
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
@@ -35,16 +36,7 @@
     metrics: Arc<DaemonMetrics>,
     control: ControlHandle,
     ports: Mutex<HashMap<ServerName, Arc<ServerPort>>>,
-    budgets: Mutex<HolderBudgets>,
-}
-
-/// Budgets for calls beyond the first.
-#[derive(Debug)]
-pub struct HolderBudgets {
-    /// For hedged calls.
-    pub hedge: HedgePacer,
-    /// For retried calls.
-    pub retry: RatioBudget,
+    budgets: Mutex<RepeatBudgets>,
 }
 
 /// What a shard call shares with its holder.
@@ -67,10 +59,6 @@
         metrics: Arc<DaemonMetrics>,
         control: ControlHandle,
     ) -> Self {
-        let budgets = HolderBudgets {
-            hedge: HedgePacer::new(0.0),
-            retry: RatioBudget::new(0.0),
-        };
         Self {
             view,
             clock,
@@ -78,7 +66,7 @@
             metrics,
             control,
             ports: Mutex::default(),
-            budgets: Mutex::new(budgets),
+            budgets: Mutex::default(),
         }
     }
 
@@ -91,18 +79,9 @@
         replies: &async_channel::Sender<ShardReply>,
         cancel: &CancellationToken,
     ) {
-        let policy = self.view.load().config.rules.policy.clone();
-        {
-            let mut budgets = lock(&self.budgets);
-            budgets.hedge.set_ratio(if policy.hedging {
-                policy.hedge_budget
-            } else {
-                0.0
-            });
-            budgets.retry.set_ratio(policy.retry_budget);
-            budgets.hedge.earn(request.shards.len());
-            budgets.retry.earn(request.shards.len());
-        };
+        let view = self.view.load();
+        self.budgets()
+            .earn(&view.config.rules.policy, request.shards.len());
         let task = ShardTask {
             deadline: self.clock.now() + request.time_left,
             request: Arc::new(request),
@@ -193,7 +172,7 @@
     }
 
     /// Budgets for calls beyond the first.
-    pub fn budgets(&self) -> MutexGuard<'_, HolderBudgets> {
+    pub fn budgets(&self) -> MutexGuard<'_, RepeatBudgets> {
         lock(&self.budgets)
     }
 
@@ -222,7 +201,3 @@
         ShardResult::NotSent(NotSentReason::Unavailable)
     }
 }
-
-fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/daemon/src/holder/pool.rs
+++ b/crates/daemon/src/holder/pool.rs
@@ -5,11 +5,12 @@
 //! together; one more is allowed for cancelling and for status requests.
 
 use crate::http_client::{ConnectError, RequestSender, connect};
+use crate::sync::lock;
 use crate::task::TaskSpawner;
 use camphorway_model::BackendServer;
 use camphorway_policy::invariant;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 
 /// Connections kept beside those that the slots need.
 const SPARE_CONNECTIONS: u32 = 1;
@@ -130,7 +131,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, PoolState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
--- a/crates/daemon/src/holder/port.rs
+++ b/crates/daemon/src/holder/port.rs
@@ -7,6 +7,7 @@
 use crate::holder::protocol;
 use crate::http_client::{ConnectError, connect};
 use crate::peer::message::NotSentReason;
+use crate::sync::lock;
 use crate::task::TaskSpawner;
 use async_channel::{Receiver, Sender};
 use camphorway_model::{BackendServer, PerRank, RequestRank, SnapshotId};
@@ -17,7 +18,7 @@
 };
 use serde::Serialize;
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -60,13 +61,6 @@
     Refused(NotSentReason),
 }
 
-/// What a call asks of the gate.
-#[derive(Clone, Copy, Debug)]
-pub struct SlotAsk {
-    /// The call, its id left open.
-    pub call: WaitingCall,
-}
-
 /// A granted slot; it is freed by [`SlotPermit::end`], or when dropped unsent.
 #[derive(Debug)]
 pub struct SlotPermit {
@@ -239,11 +233,14 @@
         }
     }
 
-    /// Waits for a slot.
+    /// Waits for a slot for `call`, whose id is set here.
     ///
     /// # Errors
     /// Returns why there is none; nothing was sent.
-    pub async fn acquire(self: &Arc<Self>, ask: &SlotAsk) -> Result<SlotPermit, NotSentReason> {
+    pub async fn acquire(
+        self: &Arc<Self>,
+        call: &WaitingCall,
+    ) -> Result<SlotPermit, NotSentReason> {
         let (notify, notice) = async_channel::bounded(1);
         let now = self.clock.now();
         let id = {
@@ -251,7 +248,7 @@
             let id = CallId(state.next_call);
             state.next_call += 1;
             state.waiting.insert(id, notify);
-            let call = WaitingCall { id, ..ask.call };
+            let call = WaitingCall { id, ..*call };
             let events = state.gate.offer(call, now);
             state.apply(events);
             id
@@ -330,7 +327,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, PortState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
--- a/crates/daemon/src/holder/shard_call/attempt.rs
+++ b/crates/daemon/src/holder/shard_call/attempt.rs
@@ -3,7 +3,7 @@
 
 use crate::event;
 use crate::holder::pool::{PoolError, PooledConnection};
-use crate::holder::port::{ServerPort, SlotAsk, SlotPermit};
+use crate::holder::port::{ServerPort, SlotPermit};
 use crate::holder::protocol::{self, ReplyKind, ServerRequest};
 use crate::holder::{GroupHolder, ShardTask};
 use crate::http_port::read_body;
@@ -61,8 +61,7 @@
                 && request.rank == RequestRank::Bulk,
             exclusive: request.mode == RunMode::Alone,
         };
-        let ask = SlotAsk { call };
-        let granted = async { Some(self.port.acquire(&ask).await) };
+        let granted = async { Some(self.port.acquire(&call).await) };
         let late = async {
             self.holder.clock().sleep_until(self.task.deadline).await;
             Some(Err(NotSentReason::Late))
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod peer;
 pub mod settings;
 pub mod store;
+pub mod sync;
 pub mod task;
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -5,6 +5,7 @@
 use crate::peer::frame::{self, FrameError};
 use crate::peer::message::{HolderFrame, PeerRequest, PullReply, PullRequest};
 use crate::peer::tls::{PEER_NAME, TlsPair};
+use crate::sync::lock;
 use crate::task::TaskSpawner;
 use arc_swap::ArcSwap;
 use async_lock::Mutex as AsyncMutex;
@@ -16,7 +17,7 @@
 use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -357,7 +358,3 @@
     total.received_packets += stats.udp_rx.datagrams;
     total.connections += 1;
 }
-
-fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/daemon/src/store/claims.rs
+++ b/crates/daemon/src/store/claims.rs
@@ -7,6 +7,7 @@
 use crate::clock::DaemonClock;
 use crate::event;
 use crate::store::client::{StoreClient, StoreError, StorePurpose, WriteResult};
+use crate::sync::lock;
 use crate::task::TaskSpawner;
 use async_channel::Sender;
 use camphorway_model::RequestId;
@@ -14,7 +15,7 @@
 use camphorway_policy::{ClaimDecision, ClaimObject};
 use std::collections::hash_map::Entry;
 use std::collections::{BTreeMap, HashMap};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 const GATHER: Duration = Duration::from_millis(2);
@@ -151,8 +152,8 @@
             self.clock.sleep(GATHER).await;
             operations.append(&mut self.take(&key));
             if operations.is_empty() {
-                self.remember(&key, cached.clone());
                 if self.retire(&key) {
+                    self.remember(&key, cached);
                     return;
                 }
                 continue;
@@ -317,10 +318,6 @@
     }
 }
 
-fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// How far operations changed an object.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Applied {
--- a/crates/daemon/src/store/client.rs
+++ b/crates/daemon/src/store/client.rs
@@ -12,13 +12,14 @@
     ListedObject, ListedVm, StoreError, StorePurpose, StoredObject, VmKind, VmList, VmState,
     WatchReply, WriteResult,
 };
+use crate::sync::lock;
 use crate::task::TaskSpawner;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{AUTHORIZATION, HOST};
 use hyper::{Method, Request, StatusCode};
 use serde::de::DeserializeOwned;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -345,7 +346,3 @@
         cause,
     }
 }
-
-fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -6,6 +6,7 @@
 //! whenever the budget runs dry, and shrinks again while it is full.
 
 use crate::budget::RatioBudget;
+use camphorway_model::PolicySwitches;
 use std::time::Duration;
 
 const STRETCH: f64 = 1.05;
@@ -56,3 +57,36 @@
         allowed
     }
 }
+
+/// The budgets for calls beyond the first.
+#[derive(Clone, Debug)]
+pub struct RepeatBudgets {
+    /// For calls repeated while the first is still under way.
+    pub hedge: HedgePacer,
+    /// For calls repeated after a failure.
+    pub retry: RatioBudget,
+}
+
+impl Default for RepeatBudgets {
+    fn default() -> Self {
+        Self {
+            hedge: HedgePacer::new(0.0),
+            retry: RatioBudget::new(0.0),
+        }
+    }
+}
+
+impl RepeatBudgets {
+    /// Takes over the rules' ratios and counts `calls` first calls.
+    pub fn earn(&mut self, policy: &PolicySwitches, calls: usize) {
+        let hedge_ratio = if policy.hedging {
+            policy.hedge_budget
+        } else {
+            0.0
+        };
+        self.hedge.set_ratio(hedge_ratio);
+        self.retry.set_ratio(policy.retry_budget);
+        self.hedge.earn(calls);
+        self.retry.earn(calls);
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,7 +23,7 @@
 pub use claim::{ClaimDecision, ClaimEntry, ClaimObject, ClaimState, ClaimWindow};
 pub use dispatch::{DispatchLedger, NotRunProof, UnsentToken};
 pub use gate::{CallEnd, GateEvent, GateSettings, ServerGate, ServerState};
-pub use hedge::HedgePacer;
+pub use hedge::{HedgePacer, RepeatBudgets};
 pub use latency::LatencyWindow;
 pub use quarantine::{ClearReport, ContentHash, ContentVerdict, CrashReport, QuarantineTable};
 pub use queue::{CallId, KindHash, RankedQueue, WaitingCall};
--- a/crates/standins/src/http.rs
+++ b/crates/standins/src/http.rs
@@ -135,15 +135,21 @@
     let (mut sender, connection) = handshake(FuturesIo::new(stream))
         .await
         .map_err(io::Error::other)?;
+    drive(connection, sender.send_request(request)).await
+}
+
+/// Runs a connection until the reply to the request sent over it is read.
+async fn drive<Driver, Sent>(connection: Driver, sent: Sent) -> io::Result<HttpReply>
+where
+    Driver: Future,
+    Sent: Future<Output = hyper::Result<Response<Incoming>>>,
+{
     let driver = async {
         let _ = connection.await;
         std::future::pending().await
     };
     let exchange = async {
-        let response = sender
-            .send_request(request)
-            .await
-            .map_err(io::Error::other)?;
+        let response = sent.await.map_err(io::Error::other)?;
         read_reply(response).await
     };
     exchange.or(driver).await
@@ -240,16 +246,7 @@
         hyper::client::conn::http2::handshake(runner, FuturesIo::new(stream))
             .await
             .map_err(io::Error::other)?;
-    let driver = async {
-        let _ = connection.await;
-        std::future::pending().await
-    };
-    let exchange = async {
-        let response = sender
-            .send_request(request)
-            .await
-            .map_err(io::Error::other)?;
-        read_reply(response).await
-    };
-    executor.run(exchange.or(driver)).await
+    executor
+        .run(drive(connection, sender.send_request(request)))
+        .await
 }
