--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -1,9 +1,10 @@
 //! The daemon's command line.
 
-use crate::daemon;
+use crate::daemon::{self, StartError};
 use crate::event;
-use crate::settings::DaemonSettings;
+use crate::settings::{DaemonSettings, SettingsError};
 use clap::Parser;
+use log::LevelFilter;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -13,19 +14,43 @@
 /// Runs one daemon of the query tier.
 #[derive(Debug, Parser)]
 #[command(name = "camphorwayd", version)]
-struct DaemonCommand {
+pub struct DaemonCommand {
     /// The settings file (INI).
     #[arg(long)]
-    settings: PathBuf,
+    pub settings: PathBuf,
     /// Only check the settings, and start nothing.
     #[arg(long)]
-    check: bool,
+    pub check: bool,
+    /// Serve requests by the routes of the platform's store; the settings are
+    /// then those of a front.
+    #[arg(long)]
+    pub front: bool,
+}
+
+/// Runs a daemon with the settings that the command names.
+pub fn main(command: &DaemonCommand) -> ExitCode {
+    let settings = DaemonSettings::read(&command.settings);
+    run_checked(
+        command,
+        settings,
+        |settings| settings.log_level,
+        daemon::run,
+    )
 }
 
-/// Reads the command line and runs the daemon.
-pub fn main() -> ExitCode {
-    let command = DaemonCommand::parse();
-    let settings = match DaemonSettings::read(&command.settings) {
+/// Reports faults of the settings, or runs with them unless they are only to be
+/// checked.
+pub fn run_checked<Settings, Level, Run>(
+    command: &DaemonCommand,
+    settings: Result<Settings, SettingsError>,
+    level: Level,
+    run: Run,
+) -> ExitCode
+where
+    Level: FnOnce(&Settings) -> LevelFilter,
+    Run: FnOnce(Settings) -> Result<(), StartError>,
+{
+    let settings = match settings {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
@@ -36,8 +61,8 @@
         println!("{}: valid", command.settings.display());
         return ExitCode::SUCCESS;
     }
-    event::start(settings.log_level);
-    match daemon::run(settings) {
+    event::start(level(&settings));
+    match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -269,7 +269,11 @@
     }
 }
 
-fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
+/// Listens at `address`; `purpose` names the port in an error.
+///
+/// # Errors
+/// Returns the address and what the system said.
+pub fn listen(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, StartError> {
     block_on(TcpListener::bind(address)).map_err(|cause| StartError::Listen {
         purpose,
         address,
--- /dev/null
+++ b/crates/front/src/control.rs
@@ -0,0 +1,259 @@
+//! The control thread's state: the configuration in force and the directory of
+//! servers, published as a view.
+
+use crate::feed::FeedNews;
+use crate::metrics::FrontMetrics;
+use crate::ports::{SourceFeed, SourceItem, SourceItems};
+use crate::server_line::{LineSettings, ServerLine, ServiceLines};
+use crate::view::{FrontView, SharedFront};
+use async_channel::Receiver;
+use camphorway_daemon::clock::DaemonClock;
+use camphorway_daemon::event;
+use camphorway_model::{RegisteredState, RouteTable, ServerName, ServerRecord, ServiceName};
+use camphorway_policy::{DirectoryEntry, ServerDirectory};
+use futures_lite::FutureExt;
+use std::collections::HashMap;
+use std::sync::Arc;
+use tokio_util::sync::CancellationToken;
+
+/// What the control thread is built from.
+#[derive(Debug)]
+pub struct ControlParts {
+    /// Where the view is published.
+    pub view: Arc<SharedFront>,
+    /// What servers' lines are built from.
+    pub lines: LineSettings,
+    /// The daemon's clock.
+    pub clock: DaemonClock,
+    /// The daemon's metrics.
+    pub metrics: Arc<FrontMetrics>,
+    /// News of the feeds.
+    pub news: Receiver<FeedNews>,
+    /// Ends the loop.
+    pub stop: CancellationToken,
+}
+
+/// What the control thread owns.
+#[derive(Debug)]
+pub struct FrontControl {
+    parts: ControlParts,
+    routes: Option<Arc<RouteTable>>,
+    directory: ServerDirectory,
+    knows_servers: bool,
+    services: HashMap<ServiceName, Arc<ServiceLines>>,
+}
+
+impl FrontControl {
+    /// A control state that knows nothing.
+    pub fn new(parts: ControlParts) -> Self {
+        Self {
+            parts,
+            routes: None,
+            directory: ServerDirectory::default(),
+            knows_servers: false,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Takes news until stopped.
+    pub async fn run(mut self) {
+        loop {
+            let news = async { self.parts.news.recv().await.ok().map(Some) };
+            let expiry = async {
+                match self.directory.next_expiry() {
+                    Some(at) => self.parts.clock.sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+                Some(None)
+            };
+            let stopped = async {
+                self.parts.stop.cancelled().await;
+                None
+            };
+            match stopped.or(news).or(expiry).await {
+                None => return,
+                Some(Some(news)) => self.take(news),
+                Some(None) => {}
+            }
+            self.expire();
+        }
+    }
+
+    fn take(&mut self, news: FeedNews) {
+        let now = self.parts.clock.now();
+        match news {
+            FeedNews::Listed(SourceFeed::Servers, items) => self.take_list(items),
+            FeedNews::Listed(SourceFeed::Configuration, items) | FeedNews::Changed(items) => {
+                for item in items.items {
+                    self.take_item(item);
+                }
+            }
+            FeedNews::Lost(feed) => {
+                self.parts.metrics.store_lost(feed);
+                self.directory.store_lost();
+                return;
+            }
+            FeedNews::Regained(_) => {
+                self.directory.store_answered(now);
+                return;
+            }
+        }
+        self.publish();
+    }
+
+    fn take_list(&mut self, items: SourceItems) {
+        let now = self.parts.clock.now();
+        let mut records = Vec::new();
+        for item in items.items {
+            match item {
+                SourceItem::Server(record) => records.push(record),
+                other => self.take_item(other),
+            }
+        }
+        event!(
+            Info,
+            "servers-listed",
+            servers = records.len(),
+            revision = items.revision
+        );
+        self.directory.take_list(records, now);
+        self.knows_servers = true;
+    }
+
+    fn take_item(&mut self, item: SourceItem) {
+        match item {
+            SourceItem::Configuration(table) => self.take_routes(*table),
+            SourceItem::Server(record) => {
+                event!(
+                    Info,
+                    "server-registered",
+                    server = record.name,
+                    service = record.service,
+                    address = record.address,
+                    state = record.state,
+                    incarnation = record.incarnation
+                );
+                self.directory.take(record);
+            }
+            SourceItem::ServerGone(name) => {
+                event!(Info, "server-registration-gone", server = name);
+                self.directory.remove(&name, self.parts.clock.now());
+            }
+            SourceItem::Unreadable { feed, name, cause } => {
+                event!(
+                    Warn,
+                    "object-unreadable",
+                    feed = feed,
+                    name = name,
+                    cause = cause
+                );
+                if feed == SourceFeed::Servers {
+                    // It names no server to use; one that it replaced is gone.
+                    let name = ServerName::new(&name);
+                    self.directory.remove(&name, self.parts.clock.now());
+                }
+            }
+        }
+    }
+
+    /// Takes a configuration unless a newer one is in force.
+    fn take_routes(&mut self, table: RouteTable) {
+        let before = self.routes.as_ref().map(|routes| routes.version());
+        if before.is_some_and(|before| before >= table.version()) {
+            event!(Info, "configuration-old", version = table.version());
+            return;
+        }
+        event!(
+            Info,
+            "configuration-in-force",
+            version = table.version(),
+            before = before.unwrap_or_default(),
+            routes = table.route_count()
+        );
+        self.parts.metrics.version.set(table.version() as i64);
+        self.routes = Some(Arc::new(table));
+    }
+
+    fn expire(&mut self) {
+        let gone = self.directory.expire(self.parts.clock.now());
+        if gone.is_empty() {
+            return;
+        }
+        for name in &gone {
+            event!(Info, "server-forgotten", server = name);
+        }
+        self.publish();
+    }
+
+    fn publish(&mut self) {
+        let mut by_service: HashMap<ServiceName, Vec<DirectoryEntry>> = HashMap::new();
+        for entry in self.directory.entries() {
+            let service = entry.record.service.clone();
+            by_service.entry(service).or_default().push(entry.clone());
+        }
+        // A service that lost all servers keeps its budget until they are back.
+        for service in self.services.keys() {
+            by_service.entry(service.clone()).or_default();
+        }
+        let mut services = HashMap::new();
+        for (service, entries) in by_service {
+            let lines = self.build_service(&service, &entries);
+            services.insert(service, lines);
+        }
+        self.services = services;
+        self.parts.view.store(FrontView {
+            routes: self.routes.clone(),
+            services: Arc::new(self.services.clone()),
+            knows_servers: self.knows_servers,
+        });
+    }
+
+    /// The lines of a service; those of servers that are the same are kept, with
+    /// their connections and what they have shown.
+    fn build_service(
+        &self,
+        service: &ServiceName,
+        entries: &[DirectoryEntry],
+    ) -> Arc<ServiceLines> {
+        let before = self.services.get(service);
+        let known: HashMap<&ServerName, &Arc<ServerLine>> = before
+            .into_iter()
+            .flat_map(|before| before.lines())
+            .map(|line| (line.name(), line))
+            .collect();
+        let most_connections = self
+            .routes
+            .as_ref()
+            .and_then(|routes| routes.service(service))
+            .map(|service| service.most_connections);
+        let mut ready = Vec::new();
+        let mut missing = Vec::new();
+        for entry in entries {
+            if entry.record.state == RegisteredState::Draining {
+                continue;
+            }
+            let line = match known.get(&entry.record.name) {
+                Some(line) if is_same_process(line.record(), &entry.record) => Arc::clone(line),
+                _ => Arc::new(ServerLine::new(&entry.record, &self.parts.lines)),
+            };
+            if let Some(most) = most_connections {
+                line.set_most_connections(most);
+            }
+            if entry.gone_at.is_some() {
+                missing.push(line);
+            } else {
+                ready.push(line);
+            }
+        }
+        let lines =
+            ServiceLines::rebuilt(before.map(AsRef::as_ref), ready, missing, &self.parts.lines);
+        Arc::new(lines)
+    }
+}
+
+/// Whether two registrations are of one process at one address.
+fn is_same_process(before: &ServerRecord, after: &ServerRecord) -> bool {
+    before.address == after.address
+        && before.incarnation == after.incarnation
+        && before.service == after.service
+}
--- /dev/null
+++ b/crates/front/src/door.rs
@@ -0,0 +1,215 @@
+//! The callers' port: reads a request, finds its route, and answers it.
+
+use crate::answer::{InvalidReason, RefusedAnswer, RoutedAnswer};
+use crate::fan_out::{self, FanOutParts, FanRequest};
+use crate::ports::{RequestHead, WireDialect};
+use crate::server_call::CallOrder;
+use bytes::Bytes;
+use camphorway_daemon::event;
+use camphorway_daemon::http_port::{BodyError, HttpHandler, read_body};
+use camphorway_daemon::sync::lock;
+use camphorway_model::{RefusalReason, RequestRoute, RouteTable, RouteTarget, ServiceName};
+use camphorway_policy::{UnsentToken, WeightedSplit};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
+use hyper::{Request, Response};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio_util::sync::CancellationToken;
+
+/// When a caller may ask a daemon again that has no configuration yet.
+const START_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// Serves callers.
+#[derive(Debug)]
+pub struct FrontDoor<Wire> {
+    parts: Arc<FanOutParts<Wire>>,
+    splits: Mutex<HashMap<String, WeightedSplit>>,
+    is_stopping: Arc<AtomicBool>,
+}
+
+impl<Wire> FrontDoor<Wire>
+where
+    Wire: WireDialect,
+{
+    /// A door; once `is_stopping` is set, answers ask callers to close.
+    pub fn new(parts: Arc<FanOutParts<Wire>>, is_stopping: Arc<AtomicBool>) -> Self {
+        Self {
+            parts,
+            splits: Mutex::default(),
+            is_stopping,
+        }
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> RoutedAnswer {
+        let began = self.parts.tools.clock.now();
+        let (head, body) = request.into_parts();
+        let head = match self.parts.tools.wire.read_request(head) {
+            Ok(head) => head,
+            Err(fault) => {
+                event!(Info, "request-malformed", fault = fault);
+                return RoutedAnswer::Invalid(InvalidReason::BadRequest);
+            }
+        };
+        let id = head.id.clone();
+        let view = self.parts.view.load();
+        let Some(routes) = view.routes.clone().filter(|_| view.is_ready()) else {
+            let token = UnsentToken::for_new_request();
+            event!(
+                Info,
+                "request-refused",
+                request = id,
+                reason = "no-configuration"
+            );
+            let proof = token.refuse(RefusalReason::Unavailable);
+            return RoutedAnswer::Refused(RefusedAnswer::new(&proof, START_RETRY_AFTER));
+        };
+        let Some(route) = routes.find(&head.host, head.uri.path()).cloned() else {
+            event!(
+                Info,
+                "request-without-route",
+                request = id,
+                host = head.host,
+                path = head.uri.path(),
+                version = routes.version()
+            );
+            return RoutedAnswer::Invalid(InvalidReason::NoRoute);
+        };
+        let limits = routes.limits();
+        let body = match read_body(body, limits.body_bytes, route.time_limit).await {
+            Ok(body) => body,
+            Err(error) => {
+                event!(Info, "request-body-refused", request = id, cause = error);
+                return RoutedAnswer::Invalid(invalid_body(error));
+            }
+        };
+        let (answer, extra_calls) = self.fan_out(&route, head, body, began).await;
+        self.log(&id, &route, &routes, &answer, extra_calls, began);
+        answer
+    }
+
+    async fn fan_out(
+        &self,
+        route: &Arc<RequestRoute>,
+        head: RequestHead,
+        body: Bytes,
+        began: Instant,
+    ) -> (RoutedAnswer, usize) {
+        let time_limit = head
+            .time_limit
+            .map_or(route.time_limit, |limit| limit.min(route.time_limit));
+        let left = CancellationToken::new();
+        // If the caller leaves, this future is dropped and the guard cancels.
+        let guard = left.clone().drop_guard();
+        let (services, gather) = self.choose_services(route);
+        let request = FanRequest {
+            order: CallOrder {
+                head,
+                body,
+                idempotent: route.idempotent,
+                deadline: began + time_limit,
+            },
+            route: Arc::clone(route),
+            services,
+            gather,
+            began,
+            left,
+        };
+        let token = UnsentToken::for_new_request();
+        let answer = fan_out::run(&self.parts, request, token).await;
+        guard.disarm();
+        answer
+    }
+
+    fn choose_services(
+        &self,
+        route: &RequestRoute,
+    ) -> (Vec<ServiceName>, Option<camphorway_model::GatherRule>) {
+        match &route.target {
+            RouteTarget::Service(service) => (vec![service.clone()], None),
+            RouteTarget::Gather(rule) => (rule.shards.clone(), Some(rule.clone())),
+            RouteTarget::Split(parts) => {
+                let weights: Vec<f64> = parts.iter().map(|part| part.weight).collect();
+                let mut splits = lock(&self.splits);
+                let split = splits.entry(route.name.clone()).or_default();
+                let chosen = split.next(&weights).and_then(|index| parts.get(index));
+                (
+                    chosen
+                        .map(|part| part.service.clone())
+                        .into_iter()
+                        .collect(),
+                    None,
+                )
+            }
+        }
+    }
+
+    fn log(
+        &self,
+        id: &str,
+        route: &RequestRoute,
+        routes: &RouteTable,
+        answer: &RoutedAnswer,
+        extra_calls: usize,
+        began: Instant,
+    ) {
+        let took = self
+            .parts
+            .tools
+            .clock
+            .now()
+            .saturating_duration_since(began);
+        let priority = route.priority.to_string();
+        self.parts.metrics.answered(&priority, answer, took);
+        event!(
+            Info,
+            "request-done",
+            request = id,
+            route = route.name,
+            version = routes.version(),
+            outcome = answer.outcome(),
+            reason = answer.reason(),
+            extra = extra_calls,
+            in_objective = took <= route.objective,
+            took_us = took.as_micros()
+        );
+    }
+}
+
+impl<Wire> HttpHandler for FrontDoor<Wire>
+where
+    Wire: WireDialect,
+{
+    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        self.parts.metrics.running.inc();
+        let running = RunningRequest(&self.parts.metrics.running);
+        let answer = self.answer(request).await;
+        let mut response = self.parts.tools.wire.write_answer(&answer);
+        if self.is_stopping.load(Ordering::Relaxed) {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        drop(running);
+        response
+    }
+}
+
+/// Counts a request as running until dropped.
+struct RunningRequest<'gauge>(&'gauge prometheus::IntGauge);
+
+impl Drop for RunningRequest<'_> {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+fn invalid_body(error: BodyError) -> InvalidReason {
+    match error {
+        BodyError::TooLarge => InvalidReason::TooLarge,
+        BodyError::TooSlow => InvalidReason::TooSlow,
+        BodyError::Broken => InvalidReason::BadRequest,
+    }
+}
--- /dev/null
+++ b/crates/front/src/fan_out.rs
@@ -0,0 +1,459 @@
+//! A request's fan-out: a call for each part, extra calls within budgets, and
+//! the answer.
+//!
+//! A route to one service has one part, whose answer is passed on. A route over
+//! shards has a part for each, and the parts are merged.
+
+mod part;
+mod times;
+
+pub use times::CallTimes;
+
+use crate::answer::{FailReason, MergedAnswer, RefusedAnswer, RoutedAnswer};
+use crate::fan_out::part::{PartProgress, RunningCall};
+use crate::metrics::FrontMetrics;
+use crate::ports::WireDialect;
+use crate::server_call::{CallEnd, CallOrder, CallTools, NotRunCause, UnsentCause};
+use crate::server_line::{AcquireError, LinePermit, ServiceLines};
+use crate::view::SharedFront;
+use async_channel::{Receiver, Sender};
+use bytes::Bytes;
+use camphorway_daemon::event;
+use camphorway_daemon::metrics::CallPurpose;
+use camphorway_model::{GatherRule, RefusalReason, RequestRoute, ServiceName};
+use camphorway_policy::{DispatchLedger, UnsentToken, greatest_records};
+use futures_lite::FutureExt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+/// A part of a service's budget that hedges leave to retries, 0 to 1.
+const HEDGE_RESERVE: f64 = 0.3;
+/// Calls of a part that servers may reject beside the route's attempts.
+const MOST_REJECTED: usize = 2;
+/// The answer is built this long before the time limit.
+const REPLY_MARGIN: Duration = Duration::from_millis(10);
+/// A call of a shard is given up after this many times the objective.
+const PATIENCE: u32 = 4;
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// What fan-outs share.
+#[derive(Debug)]
+pub struct FanOutParts<Wire> {
+    /// Routes and servers.
+    pub view: Arc<SharedFront>,
+    /// Calls servers.
+    pub tools: CallTools<Wire>,
+    /// How long calls take.
+    pub times: Arc<CallTimes>,
+    /// The daemon's metrics.
+    pub metrics: Arc<FrontMetrics>,
+    /// A query is answered this long before its objective, with what is there.
+    pub answer_margin: Duration,
+}
+
+/// A request and its route.
+#[derive(Debug)]
+pub struct FanRequest {
+    /// What servers are asked.
+    pub order: CallOrder,
+    /// The route.
+    pub route: Arc<RequestRoute>,
+    /// The services asked, one a part.
+    pub services: Vec<ServiceName>,
+    /// How parts are merged; none passes the one answer on.
+    pub gather: Option<GatherRule>,
+    /// When the request arrived.
+    pub began: Instant,
+    /// Cancelled when the caller leaves.
+    pub left: CancellationToken,
+}
+
+/// One request's fan-out.
+struct FanOut<'request, Wire> {
+    parts: &'request Arc<FanOutParts<Wire>>,
+    request: &'request FanRequest,
+    order: Arc<CallOrder>,
+    progress: Vec<PartProgress>,
+    ledger: DispatchLedger,
+    events: Receiver<FanEvent>,
+    sender: Sender<FanEvent>,
+    /// Ends waiting for room when the request ends.
+    done: CancellationToken,
+    _done_guard: DropGuard,
+    /// When a query is answered with what is there.
+    answer_at: Instant,
+    deadline: Instant,
+    extra_calls: usize,
+}
+
+/// What the fan-out is told.
+enum FanEvent {
+    Ended {
+        part: usize,
+        call: usize,
+        end: CallEnd,
+    },
+    Room {
+        part: usize,
+    },
+    /// A call is late, or it is time to answer.
+    Timer,
+}
+
+/// Answers a request; `token` proves that nothing was sent yet.
+pub async fn run<Wire>(
+    parts: &Arc<FanOutParts<Wire>>,
+    request: FanRequest,
+    token: UnsentToken,
+) -> (RoutedAnswer, usize)
+where
+    Wire: WireDialect,
+{
+    let mut fan = FanOut::new(parts, &request, token.dispatch());
+    fan.drive().await;
+    let extra = fan.extra_calls;
+    (fan.finish(), extra)
+}
+
+impl<'request, Wire> FanOut<'request, Wire>
+where
+    Wire: WireDialect,
+{
+    fn new(
+        parts: &'request Arc<FanOutParts<Wire>>,
+        request: &'request FanRequest,
+        ledger: DispatchLedger,
+    ) -> Self {
+        let (sender, events) = async_channel::unbounded();
+        let done = CancellationToken::new();
+        let route = &request.route;
+        let deadline = request.order.deadline;
+        let patience = request.began + route.objective * PATIENCE;
+        let give_up = match request.gather {
+            Some(_) => patience.min(deadline),
+            None => deadline,
+        };
+        let order = CallOrder {
+            head: request.order.head.clone(),
+            body: request.order.body.clone(),
+            idempotent: route.idempotent,
+            deadline: give_up,
+        };
+        let objective = route.objective.saturating_sub(parts.answer_margin);
+        Self {
+            parts,
+            request,
+            order: Arc::new(order),
+            progress: request.services.iter().map(PartProgress::new).collect(),
+            ledger,
+            events,
+            sender,
+            _done_guard: done.clone().drop_guard(),
+            done,
+            answer_at: (request.began + objective).min(deadline - REPLY_MARGIN),
+            deadline: deadline - REPLY_MARGIN,
+            extra_calls: 0,
+        }
+    }
+
+    async fn drive(&mut self) {
+        for part in 0..self.progress.len() {
+            self.start(part, CallPurpose::First);
+        }
+        while !self.is_settled() {
+            match self.next_event().await {
+                FanEvent::Ended { part, call, end } => self.take(part, call, end),
+                FanEvent::Room { part } => {
+                    self.progress[part].is_waiting = false;
+                    let purpose = self.progress[part].next_purpose();
+                    self.start(part, purpose);
+                }
+                FanEvent::Timer => self.hedge_due(),
+            }
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.parts.tools.clock.now()
+    }
+
+    /// Whether the answer should go out now.
+    fn is_settled(&self) -> bool {
+        let now = self.now();
+        if now >= self.deadline || self.progress.iter().all(PartProgress::is_over) {
+            return true;
+        }
+        let Some(rule) = &self.request.gather else {
+            return false;
+        };
+        let least = rule.least_parts();
+        let failed = |part: &&PartProgress| part.is_over() && part.answer.is_none();
+        let may_answer = self.progress.len() - self.progress.iter().filter(failed).count();
+        may_answer < least || (now >= self.answer_at && self.answered() >= least)
+    }
+
+    fn answered(&self) -> usize {
+        let answered = |part: &&PartProgress| part.answer.is_some();
+        self.progress.iter().filter(answered).count()
+    }
+
+    async fn next_event(&self) -> FanEvent {
+        if let Ok(event) = self.events.try_recv() {
+            return event;
+        }
+        let told = async {
+            match self.events.recv().await {
+                Ok(event) => event,
+                // The fan-out holds a sender itself.
+                Err(_) => FanEvent::Timer,
+            }
+        };
+        let due = async {
+            self.parts.tools.clock.sleep_until(self.next_due()).await;
+            FanEvent::Timer
+        };
+        told.or(due).await
+    }
+
+    fn next_due(&self) -> Instant {
+        let hedges = self.progress.iter().filter_map(PartProgress::next_hedge);
+        let due = hedges.fold(self.deadline, Instant::min);
+        if self.request.gather.is_some() && self.now() < self.answer_at {
+            return due.min(self.answer_at);
+        }
+        due
+    }
+
+    /// Asks a server for a part, if there is one and the budget allows it.
+    fn start(&mut self, part: usize, purpose: CallPurpose) {
+        let now = self.now();
+        if self.request.left.is_cancelled() || now >= self.deadline {
+            return;
+        }
+        let view = self.parts.view.load();
+        let Some(lines) = view.services.get(&self.progress[part].service) else {
+            self.progress[part].last = "no-server";
+            return;
+        };
+        if purpose == CallPurpose::First
+            && !std::mem::replace(&mut self.progress[part].is_earned, true)
+        {
+            lines.budget().earn(now);
+        }
+        match lines.acquire(&self.progress[part].tried, now) {
+            Ok(permit) => {
+                if self.may_send(part, purpose, lines, now) {
+                    self.send(part, purpose, permit);
+                }
+            }
+            Err(AcquireError::NoServer) => self.progress[part].last = "no-server",
+            Err(AcquireError::Busy) if purpose == CallPurpose::Hedge => {}
+            Err(AcquireError::Busy) => self.wait_for_room(part, lines),
+        }
+    }
+
+    /// Whether the budget lets a call go; first arrivals cost nothing.
+    fn may_send(
+        &mut self,
+        part: usize,
+        purpose: CallPurpose,
+        lines: &ServiceLines,
+        now: Instant,
+    ) -> bool {
+        if self.progress[part].has_no_arrival() {
+            return true;
+        }
+        let reserve = match purpose {
+            CallPurpose::Hedge => HEDGE_RESERVE,
+            CallPurpose::First | CallPurpose::Retry => 0.0,
+        };
+        let allowed = lines.budget().spend(reserve, now);
+        if allowed {
+            self.extra_calls += 1;
+        } else {
+            self.progress[part].last = "no-budget";
+            self.parts.metrics.budget_refusals.inc();
+            event!(
+                Info,
+                "extra-call-refused",
+                request = self.order.head.id,
+                service = self.progress[part].service,
+                purpose = purpose
+            );
+        }
+        allowed
+    }
+
+    fn wait_for_room(&mut self, part: usize, lines: &Arc<ServiceLines>) {
+        self.progress[part].is_waiting = true;
+        let lines = Arc::clone(lines);
+        let sender = self.sender.clone();
+        let done = self.done.clone();
+        let priority = self.request.route.priority;
+        self.parts.tools.spawner.spawn(async move {
+            let room = async {
+                lines.wait_for_room(priority).await;
+                // The request may have ended.
+                let _ = sender.try_send(FanEvent::Room { part });
+            };
+            room.or(done.cancelled()).await;
+        });
+    }
+
+    fn send(&mut self, part: usize, purpose: CallPurpose, permit: LinePermit) {
+        let route = &self.request.route;
+        let line = Arc::clone(permit.line());
+        let distance = line.distance();
+        let delay = self.parts.times.late_after(route, distance);
+        let progress = &mut self.progress[part];
+        progress.tried.push(line.name().clone());
+        let call = progress.calls.len();
+        progress.calls.push(RunningCall {
+            line: Arc::clone(&line),
+            late_at: Some(permit.started() + delay),
+            is_running: true,
+            is_arrived: true,
+        });
+        self.ledger.sent(1);
+        self.parts.metrics.called_server(purpose);
+        let parts = Arc::clone(self.parts);
+        let order = Arc::clone(&self.order);
+        let left = self.request.left.clone();
+        let sender = self.sender.clone();
+        let route = Arc::clone(route);
+        self.parts.tools.spawner.spawn(async move {
+            let started = permit.started();
+            let end = parts.tools.call(&order, permit, &left).await;
+            let took = parts.tools.clock.now().saturating_duration_since(started);
+            if let CallEnd::Answered(answer) = &end
+                && answer.status.is_success()
+            {
+                parts.times.record(&route, distance, took);
+            } else {
+                event!(
+                    Info,
+                    "server-call-failed",
+                    request = order.head.id,
+                    route = route.name,
+                    server = line.name(),
+                    purpose = purpose,
+                    end = end.name(),
+                    took_us = took.as_micros()
+                );
+            }
+            parts.metrics.call_ended(&end);
+            // The request may have its answer already.
+            let _ = sender.try_send(FanEvent::Ended { part, call, end });
+        });
+    }
+
+    fn take(&mut self, part: usize, call: usize, end: CallEnd) {
+        let progress = &mut self.progress[part];
+        progress.calls[call].is_running = false;
+        progress.calls[call].late_at = None;
+        progress.last = end.name();
+        match end {
+            CallEnd::Answered(answer) if answer.status.is_success() => {
+                progress.answer.get_or_insert(answer);
+                return;
+            }
+            CallEnd::Answered(answer) => {
+                let is_callers_fault = answer.status.is_client_error();
+                progress.failure = Some(answer);
+                if is_callers_fault {
+                    return;
+                }
+            }
+            CallEnd::NotRun(NotRunCause::Rejected | NotRunCause::Misdirected) => {
+                progress.rejected += 1;
+                self.ledger.came_back_unsent();
+            }
+            CallEnd::Unsent(cause) => {
+                progress.calls[call].is_arrived = false;
+                self.ledger.came_back_unsent();
+                if cause == UnsentCause::CallerLeft {
+                    return;
+                }
+            }
+            CallEnd::Lost(_) => {}
+        }
+        if self.progress[part].may_retry(&self.request.route, MOST_REJECTED) {
+            let purpose = self.progress[part].next_purpose();
+            self.start(part, purpose);
+        }
+    }
+
+    /// Marks servers whose calls are late, and asks others.
+    fn hedge_due(&mut self) {
+        let now = self.now();
+        for part in 0..self.progress.len() {
+            if !self.progress[part].take_late(now) {
+                continue;
+            }
+            if self.progress[part].may_hedge(&self.request.route) {
+                self.start(part, CallPurpose::Hedge);
+            }
+        }
+    }
+
+    fn finish(mut self) -> RoutedAnswer {
+        let answer = match &self.request.gather {
+            Some(rule) => self.merge(rule),
+            None => self.pass(),
+        };
+        let Some(answer) = answer else {
+            return self.fail();
+        };
+        answer
+    }
+
+    fn merge(&self, rule: &GatherRule) -> Option<RoutedAnswer> {
+        let answers = self.progress.iter().filter_map(|part| part.answer.as_ref());
+        let answers: Vec<_> = answers.collect();
+        if answers.len() < rule.least_parts() {
+            return None;
+        }
+        let bodies = answers.iter().map(|answer| answer.body.as_ref());
+        let signatures = answers.iter().filter_map(|answer| answer.signature.clone());
+        Some(RoutedAnswer::Merged(MergedAnswer {
+            body: Bytes::from(greatest_records(bodies, rule.top_records)),
+            signatures: signatures.collect(),
+            missing: self.progress.len() - answers.len(),
+        }))
+    }
+
+    fn pass(&mut self) -> Option<RoutedAnswer> {
+        let part = self.progress.first_mut()?;
+        let answer = part.answer.take().or_else(|| part.failure.take())?;
+        Some(RoutedAnswer::Passed(answer))
+    }
+
+    /// The answer to a request that has none: a refusal only if nothing ran.
+    fn fail(self) -> RoutedAnswer {
+        let is_late = self.now() >= self.deadline;
+        let few = self.request.gather.is_some();
+        let causes: Vec<&str> = self.progress.iter().map(|part| part.last).collect();
+        event!(
+            Info,
+            "request-without-answer",
+            request = self.order.head.id,
+            route = self.request.route.name,
+            parts = causes.join(",")
+        );
+        let retry_after = (self.request.route.objective / 4).max(LEAST_RETRY_AFTER);
+        let reason = if is_late {
+            RefusalReason::Deadline
+        } else {
+            RefusalReason::Unavailable
+        };
+        match self.ledger.close() {
+            Ok(token) => {
+                RoutedAnswer::Refused(RefusedAnswer::new(&token.refuse(reason), retry_after))
+            }
+            Err(_) if is_late => RoutedAnswer::Failed(FailReason::Timeout),
+            Err(_) if few => RoutedAnswer::Failed(FailReason::TooFewParts),
+            Err(_) => RoutedAnswer::Failed(FailReason::Lost),
+        }
+    }
+}
--- /dev/null
+++ b/crates/front/src/fan_out/part.rs
@@ -0,0 +1,106 @@
+//! One part of a request: the calls made for it and what came back.
+
+use crate::answer::ServerAnswer;
+use crate::server_line::ServerLine;
+use camphorway_daemon::metrics::CallPurpose;
+use camphorway_model::{RequestRoute, ServerName, ServiceName};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// What became of a part so far.
+#[derive(Debug)]
+pub(super) struct PartProgress {
+    pub(super) service: ServiceName,
+    pub(super) tried: Vec<ServerName>,
+    pub(super) calls: Vec<RunningCall>,
+    pub(super) rejected: usize,
+    pub(super) is_waiting: bool,
+    /// Whether the budget counts this part's first call.
+    pub(super) is_earned: bool,
+    pub(super) answer: Option<ServerAnswer>,
+    pub(super) failure: Option<ServerAnswer>,
+    /// What happened last, for logs.
+    pub(super) last: &'static str,
+}
+
+/// One call.
+#[derive(Debug)]
+pub(super) struct RunningCall {
+    pub(super) line: Arc<ServerLine>,
+    /// When the call counts as late; none once that is noted.
+    pub(super) late_at: Option<Instant>,
+    pub(super) is_running: bool,
+    /// Whether the request may have reached the server.
+    pub(super) is_arrived: bool,
+}
+
+impl PartProgress {
+    pub(super) fn new(service: &ServiceName) -> Self {
+        Self {
+            service: service.clone(),
+            tried: Vec::new(),
+            calls: Vec::new(),
+            rejected: 0,
+            is_waiting: false,
+            is_earned: false,
+            answer: None,
+            failure: None,
+            last: "not-asked",
+        }
+    }
+
+    /// Whether nothing more will come for this part.
+    pub(super) fn is_over(&self) -> bool {
+        let is_running = self.calls.iter().any(|call| call.is_running);
+        self.answer.is_some() || !(is_running || self.is_waiting)
+    }
+
+    pub(super) fn has_no_arrival(&self) -> bool {
+        !self.calls.iter().any(|call| call.is_arrived)
+    }
+
+    /// A part that no server got yet is still waiting for its first call.
+    pub(super) fn next_purpose(&self) -> CallPurpose {
+        if self.has_no_arrival() {
+            CallPurpose::First
+        } else {
+            CallPurpose::Retry
+        }
+    }
+
+    pub(super) fn next_hedge(&self) -> Option<Instant> {
+        self.calls.iter().filter_map(|call| call.late_at).min()
+    }
+
+    /// Notes the calls that became late by `now`; whether there were any.
+    pub(super) fn take_late(&mut self, now: Instant) -> bool {
+        let mut any = false;
+        for call in &mut self.calls {
+            if call.late_at.is_some_and(|at| now >= at) {
+                call.late_at = None;
+                call.line.note_stalled();
+                any = true;
+            }
+        }
+        any
+    }
+
+    /// Whether a second server may be asked while the first still runs.
+    pub(super) fn may_hedge(&self, route: &RequestRoute) -> bool {
+        route.idempotent && self.answer.is_none() && self.ran() < route.attempts
+    }
+
+    /// Whether another server may be asked after one has failed.
+    pub(super) fn may_retry(&self, route: &RequestRoute, most_rejected: usize) -> bool {
+        let is_running = self.calls.iter().any(|call| call.is_running);
+        let may_repeat = route.idempotent || self.ran() == 0;
+        let has_room = self.ran() < route.attempts && self.rejected <= most_rejected;
+        self.answer.is_none() && !is_running && !self.is_waiting && may_repeat && has_room
+    }
+
+    /// Calls that ran, or may have.
+    fn ran(&self) -> usize {
+        let arrived = self.calls.iter().filter(|call| call.is_arrived).count();
+        arrived.saturating_sub(self.rejected)
+    }
+}
--- /dev/null
+++ b/crates/front/src/front.rs
@@ -0,0 +1,257 @@
+//! Puts a front together, runs it, and stops it gracefully.
+
+use crate::control::{ControlParts, FrontControl};
+use crate::door::FrontDoor;
+use crate::fan_out::{CallTimes, FanOutParts};
+use crate::feed::FeedFollower;
+use crate::metrics::FrontMetrics;
+use crate::ports::{SourceFeed, TierSource, WireDialect};
+use crate::readiness_port::ReadinessPort;
+use crate::server_call::CallTools;
+use crate::server_line::LineSettings;
+use crate::settings::FrontSettings;
+use crate::view::SharedFront;
+use async_executor::LocalExecutor;
+use async_io::block_on;
+use async_net::TcpListener;
+use async_signal::{Signal, Signals};
+use camphorway_daemon::clock::DaemonClock;
+use camphorway_daemon::daemon::{StartError, listen};
+use camphorway_daemon::event;
+use camphorway_daemon::http_port::{HttpHandler, HttpPort};
+use camphorway_daemon::settings::LimitSettings;
+use camphorway_daemon::task::TaskSpawner;
+use futures_lite::{FutureExt, StreamExt};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+/// Hand-overs between threads cost more on a small VM than a second thread gains.
+const TRAFFIC_THREADS: usize = 1;
+/// After readiness fails, the balancer may send new connections for this long.
+const BALANCER_LAG: Duration = Duration::from_millis(2_500);
+/// The process ends this long before it would be killed.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Idle connections are closed this long before the process ends, so that what
+/// arrives on them until then is still answered.
+const CLOSE_TIME: Duration = Duration::from_millis(1_200);
+const DRAIN_CHECK: Duration = Duration::from_millis(20);
+/// Time for last answers to leave.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
+/// A caller's connection may be idle, or a head incomplete, for this long.
+const READ_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// What the parts of a front share.
+struct FrontCore<Wire, Source> {
+    settings: FrontSettings,
+    wire: Arc<Wire>,
+    source: Arc<Source>,
+    clock: DaemonClock,
+    metrics: Arc<FrontMetrics>,
+    spawner: TaskSpawner,
+    view: Arc<SharedFront>,
+    is_stopping: Arc<AtomicBool>,
+    stop_callers: CancellationToken,
+    stop_all: CancellationToken,
+}
+
+/// Runs a front until a signal ends it; `make_source` builds the adapter of the
+/// store, which runs its connections on the spawner it is given.
+///
+/// # Errors
+/// Returns why it did not start; then nothing was served.
+pub fn run<Wire, Source, MakeSource>(
+    settings: FrontSettings,
+    wire: Wire,
+    make_source: MakeSource,
+) -> Result<(), StartError>
+where
+    Wire: WireDialect,
+    Source: TierSource,
+    MakeSource: FnOnce(&FrontSettings, &DaemonClock, &TaskSpawner) -> Source,
+{
+    let callers = listen("callers", settings.callers)?;
+    let readiness = listen("readiness", settings.readiness)?;
+    let stop_all = CancellationToken::new();
+    let (spawner, threads) =
+        TaskSpawner::start(TRAFFIC_THREADS, &stop_all).map_err(StartError::Thread)?;
+    let clock = DaemonClock::Real;
+    let source = make_source(&settings, &clock, &spawner);
+    let core = FrontCore {
+        settings,
+        wire: Arc::new(wire),
+        source: Arc::new(source),
+        clock,
+        metrics: Arc::new(FrontMetrics::new()),
+        spawner,
+        view: Arc::default(),
+        is_stopping: Arc::default(),
+        stop_callers: stop_all.child_token(),
+        stop_all,
+    };
+    core.start_callers(callers);
+    core.start_readiness(readiness);
+    let control = core.start_control()?;
+    event!(
+        Info,
+        "started",
+        vm = core.settings.vm,
+        domain = core.settings.domain,
+        callers = core.settings.callers,
+        store = core.settings.store
+    );
+    block_on(core.wait_for_end());
+    // A thread that panicked has logged why; the others are to end all the same.
+    let _ = control.join();
+    for thread in threads {
+        let _ = thread.join();
+    }
+    Ok(())
+}
+
+impl<Wire, Source> FrontCore<Wire, Source>
+where
+    Wire: WireDialect,
+    Source: TierSource,
+{
+    fn start_callers(&self, listener: TcpListener) {
+        let parts = Arc::new(FanOutParts {
+            view: Arc::clone(&self.view),
+            tools: CallTools {
+                wire: Arc::clone(&self.wire),
+                clock: self.clock.clone(),
+                spawner: self.spawner.clone(),
+            },
+            times: Arc::new(CallTimes::default()),
+            metrics: Arc::clone(&self.metrics),
+            answer_margin: self.settings.answer_margin,
+        });
+        let door = FrontDoor::new(parts, Arc::clone(&self.is_stopping));
+        self.serve(listener, &self.stop_callers, door);
+    }
+
+    fn start_readiness(&self, listener: TcpListener) {
+        let port = ReadinessPort {
+            wire: Arc::clone(&self.wire),
+            view: Arc::clone(&self.view),
+            metrics: Arc::clone(&self.metrics),
+            is_stopping: Arc::clone(&self.is_stopping),
+        };
+        self.serve(listener, &self.stop_all, port);
+    }
+
+    fn serve<Handler>(&self, listener: TcpListener, stop: &CancellationToken, handler: Handler)
+    where
+        Handler: HttpHandler,
+    {
+        let limits = LimitSettings {
+            read_timeout: READ_TIMEOUT,
+            ..LimitSettings::default()
+        };
+        let port = HttpPort {
+            listener,
+            spawner: self.spawner.clone(),
+            limits,
+            clock: self.clock.clone(),
+            stop: stop.clone(),
+        };
+        self.spawner.spawn(port.serve(Arc::new(handler)));
+    }
+
+    fn start_control(&self) -> Result<JoinHandle<()>, StartError> {
+        let (news, inbox) = async_channel::unbounded();
+        let follower = |feed| FeedFollower {
+            source: Arc::clone(&self.source),
+            feed,
+            wait: self.settings.watch_wait,
+            news: news.clone(),
+            clock: self.clock.clone(),
+            stop: self.stop_all.clone(),
+        };
+        let followers = [
+            follower(SourceFeed::Configuration),
+            follower(SourceFeed::Servers),
+        ];
+        let control = FrontControl::new(ControlParts {
+            view: Arc::clone(&self.view),
+            lines: LineSettings {
+                domain: self.settings.domain.clone(),
+                regions: Arc::new(self.settings.regions.clone()),
+                budget: self.settings.budget,
+                clock: self.clock.clone(),
+            },
+            clock: self.clock.clone(),
+            metrics: Arc::clone(&self.metrics),
+            news: inbox,
+            stop: self.stop_all.clone(),
+        });
+        std::thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || {
+                let executor = LocalExecutor::new();
+                for follower in followers {
+                    executor.spawn(follower.run()).detach();
+                }
+                block_on(executor.run(control.run()));
+            })
+            .map_err(StartError::Thread)
+    }
+
+    /// Serves until a signal, then stops.
+    async fn wait_for_end(&self) {
+        let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
+            Ok(signals) => signals,
+            Err(cause) => {
+                event!(Error, "signals-not-handled", cause = cause);
+                std::future::pending().await
+            }
+        };
+        while let Some(Ok(signal)) = signals.next().await {
+            match signal {
+                Signal::Hup => event!(
+                    Info,
+                    "settings-changed",
+                    outcome = "kept until the next start"
+                ),
+                _ => break,
+            }
+        }
+        let drained = async {
+            self.drain().await;
+            "drained"
+        };
+        let limit = async {
+            let grace = self.settings.grace.saturating_sub(GRACE_MARGIN);
+            self.clock.sleep(grace).await;
+            "time limit"
+        };
+        let why = drained.or(limit).await;
+        event!(
+            Info,
+            "stopped",
+            why = why,
+            cut_requests = self.metrics.running.get()
+        );
+        self.stop_all.cancel();
+    }
+
+    /// Lets the balancer notice, serves connections that are kept, and ends
+    /// when they are closed or time is short.
+    async fn drain(&self) {
+        event!(Info, "draining");
+        self.is_stopping.store(true, Ordering::Relaxed);
+        let closing = self
+            .settings
+            .grace
+            .saturating_sub(GRACE_MARGIN + CLOSE_TIME);
+        self.clock.sleep(closing.max(BALANCER_LAG)).await;
+        self.stop_callers.cancel();
+        self.clock.sleep(LAST_ANSWERS).await;
+        while self.metrics.running.get() > 0 {
+            self.clock.sleep(DRAIN_CHECK).await;
+        }
+        self.clock.sleep(LAST_ANSWERS).await;
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,21 @@
+//! The front: answers requests that routes lead to services, by calling the
+//! services' backend servers directly.
+//!
+//! Routes and servers are learned from a store, through the ports in [`ports`].
+//! One thread follows the store and publishes a [`view`]; another carries
+//! traffic. A request is read by the [`door`], goes through the [`fan_out`], and
+//! reaches servers over [`server_line`]s.
+
+pub mod answer;
+pub mod control;
+pub mod door;
+pub mod fan_out;
+pub mod feed;
+pub mod front;
+pub mod metrics;
+pub mod ports;
+pub mod readiness_port;
+pub mod server_call;
+pub mod server_line;
+pub mod settings;
+pub mod view;
--- /dev/null
+++ b/crates/front/src/ports.rs
@@ -0,0 +1,184 @@
+//! What the front needs of the world: a way to read and write HTTP messages of
+//! a platform, and a source of routes and registrations.
+
+use crate::answer::RoutedAnswer;
+use bytes::Bytes;
+use camphorway_model::{RouteTable, ServerName, ServerRecord};
+use derive_more::Display;
+use http_body_util::Full;
+use hyper::http::{request, response};
+use hyper::{HeaderMap, Method, Request, Response, Uri};
+use std::time::Duration;
+
+/// Names and formats of the HTTP messages of callers and backend servers.
+pub trait WireDialect: Send + Sync + 'static {
+    /// Reads the head of a caller's request.
+    ///
+    /// # Errors
+    /// Returns what is wrong with it.
+    fn read_request(&self, head: request::Parts) -> Result<RequestHead, HeadFault>;
+
+    /// The response that tells a caller `answer`.
+    fn write_answer(&self, answer: &RoutedAnswer) -> Response<Full<Bytes>>;
+
+    /// The request that asks a backend server.
+    fn server_request(&self, call: &ServerAsk<'_>) -> Request<Full<Bytes>>;
+
+    /// Reads the head of a backend server's reply.
+    fn read_reply(&self, head: &response::Parts) -> ReplyHead;
+
+    /// Whether a request to the readiness port asks for readiness.
+    fn asks_readiness(&self, head: &request::Parts) -> bool;
+}
+
+/// The head of a caller's request.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    /// The id of this attempt.
+    pub id: String,
+    /// The host asked, as sent.
+    pub host: String,
+    /// Method.
+    pub method: Method,
+    /// Path and query, as sent.
+    pub uri: Uri,
+    /// Headers to be sent on.
+    pub headers: HeaderMap,
+    /// How long the caller waits.
+    pub time_limit: Option<Duration>,
+}
+
+/// Why a request's head can't be used.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum HeadFault {
+    /// No id, or more than one.
+    #[display("no single request id")]
+    Id,
+    /// No host, or more than one.
+    #[display("no single host")]
+    Host,
+    /// The time limit is not a number of milliseconds.
+    #[display("the time limit is not a number")]
+    TimeLimit,
+}
+
+/// One call of a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerAsk<'ask> {
+    /// The request.
+    pub head: &'ask RequestHead,
+    /// Its body.
+    pub body: &'ask Bytes,
+    /// The server that is meant.
+    pub server: &'ask ServerName,
+    /// How long the answer is worth something.
+    pub time_left: Duration,
+}
+
+/// The head of a backend server's reply.
+#[derive(Clone, Debug)]
+pub struct ReplyHead {
+    /// Whether the request ran.
+    pub run: ReplyRun,
+    /// The server's signature of the answer.
+    pub signature: Option<String>,
+    /// The id of the request that it answers.
+    pub request: Option<String>,
+    /// Whether the body is encoded, although nobody asked for that.
+    pub is_encoded: bool,
+    /// How long the server keeps the connection open for the next call.
+    pub idle_limit: Option<Duration>,
+    /// Headers to be sent on.
+    pub headers: HeaderMap,
+}
+
+/// What a reply says of the run.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum ReplyRun {
+    /// The server ran the request.
+    #[display("ran")]
+    Ran,
+    /// It did not, and never will.
+    #[display("rejected")]
+    Rejected,
+    /// It is not the server that was meant, and did not run the request.
+    #[display("misdirected")]
+    Misdirected,
+}
+
+/// A kind of object that the source holds.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum SourceFeed {
+    /// Routes, services and limits.
+    #[display("configuration")]
+    Configuration,
+    /// Registrations of backend servers.
+    #[display("servers")]
+    Servers,
+}
+
+/// One object of a feed.
+#[derive(Clone, Debug)]
+pub enum SourceItem {
+    /// A configuration.
+    Configuration(Box<RouteTable>),
+    /// A registration.
+    Server(ServerRecord),
+    /// A registration is gone.
+    ServerGone(ServerName),
+    /// An object that can't be read; the rest holds.
+    Unreadable {
+        /// Its feed.
+        feed: SourceFeed,
+        /// Its name.
+        name: String,
+        /// What is wrong.
+        cause: String,
+    },
+}
+
+/// Items of a feed, and the revision from which later changes can be read.
+#[derive(Clone, Debug)]
+pub struct SourceItems {
+    /// The items.
+    pub items: Vec<SourceItem>,
+    /// The store's revision.
+    pub revision: u64,
+}
+
+/// Why the source gave nothing.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub enum SourceError {
+    /// The changes asked for are no longer known; list again.
+    #[display("history is gone")]
+    HistoryGone,
+    /// Anything else.
+    #[display("{step} {feed}: {cause}")]
+    Failed {
+        /// What was tried.
+        step: &'static str,
+        /// Of which feed.
+        feed: SourceFeed,
+        /// What went wrong.
+        cause: String,
+    },
+}
+
+impl std::error::Error for SourceError {}
+
+/// A store that holds routes and registrations.
+pub trait TierSource: Send + Sync + 'static {
+    /// All items of a feed.
+    fn list(
+        &self,
+        feed: SourceFeed,
+    ) -> impl Future<Output = Result<SourceItems, SourceError>> + Send;
+
+    /// Waits up to `wait` for changes after `revision`.
+    fn watch(
+        &self,
+        feed: SourceFeed,
+        revision: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<SourceItems, SourceError>> + Send;
+}
--- /dev/null
+++ b/crates/front/src/readiness_port.rs
@@ -0,0 +1,56 @@
+//! The port that the balancer asks for readiness; operators find the metrics
+//! there too.
+
+use crate::metrics::FrontMetrics;
+use crate::ports::WireDialect;
+use crate::view::SharedFront;
+use bytes::Bytes;
+use camphorway_daemon::http_port::{HttpHandler, json_response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use serde_json::json;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// The path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
+/// Serves the balancer and operators.
+#[derive(Debug)]
+pub struct ReadinessPort<Wire> {
+    /// Knows the balancer's question.
+    pub wire: Arc<Wire>,
+    /// What the daemon believes.
+    pub view: Arc<SharedFront>,
+    /// The daemon's metrics.
+    pub metrics: Arc<FrontMetrics>,
+    /// Whether the daemon is stopping.
+    pub is_stopping: Arc<AtomicBool>,
+}
+
+impl<Wire> HttpHandler for ReadinessPort<Wire>
+where
+    Wire: WireDialect,
+{
+    async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (head, _) = request.into_parts();
+        if head.uri.path() == METRICS_PATH {
+            return Response::new(Full::new(Bytes::from(self.metrics.text())));
+        }
+        if !self.wire.asks_readiness(&head) {
+            return json_response(StatusCode::NOT_FOUND, &json!({ "problem": "unknown path" }));
+        }
+        let is_stopping = self.is_stopping.load(Ordering::Relaxed);
+        let is_ready = !is_stopping && self.view.load().is_ready();
+        let status = if is_ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        json_response(
+            status,
+            &json!({ "ready": is_ready, "stopping": is_stopping }),
+        )
+    }
+}
--- /dev/null
+++ b/crates/front/src/settings.rs
@@ -0,0 +1,184 @@
+//! The settings of a front, an INI file; docs/front.md describes each key.
+
+use camphorway_daemon::settings::SettingsError;
+use camphorway_model::ini::{self, IniFault, IniSection};
+use camphorway_model::{FailureDomain, VmName};
+use camphorway_policy::BudgetLimits;
+use simplelog::LevelFilter;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+const FRONT_KEYS: &str = "vm, failure-domain, callers, readiness, log-level, answer-margin-ms";
+const STORE_KEYS: &str = "address, watch-ms";
+const STOP_KEYS: &str = "grace-ms";
+const BUDGET_KEYS: &str = "ratio, window-ms, allowance";
+const SECTIONS: &str = "front, store, stop, budget, regions";
+
+const DEFAULT_WATCH: Duration = Duration::from_millis(2_000);
+const DEFAULT_MARGIN: Duration = Duration::from_millis(15);
+const DEFAULT_RATIO: f64 = 0.1;
+const DEFAULT_WINDOW: Duration = Duration::from_secs(10);
+const DEFAULT_ALLOWANCE: f64 = 1.0;
+
+/// All settings of one front.
+#[derive(Clone, Debug)]
+pub struct FrontSettings {
+    /// The VM's name.
+    pub vm: VmName,
+    /// The failure domain that the VM stands in.
+    pub domain: FailureDomain,
+    /// The region of each failure domain.
+    pub regions: HashMap<FailureDomain, String>,
+    /// Where callers are served.
+    pub callers: SocketAddr,
+    /// Where the balancer asks for readiness.
+    pub readiness: SocketAddr,
+    /// Least level of the log lines.
+    pub log_level: LevelFilter,
+    /// The store's address.
+    pub store: SocketAddr,
+    /// How long one watch waits for a change; also the time in which a silent
+    /// connection to the store is noticed.
+    pub watch_wait: Duration,
+    /// A query is answered this long before its objective, with what is there.
+    pub answer_margin: Duration,
+    /// Time from the signal to stop until the process is killed.
+    pub grace: Duration,
+    /// Limits of extra calls for each service.
+    pub budget: BudgetLimits,
+}
+
+impl FrontSettings {
+    /// Reads and checks the file at `path`.
+    ///
+    /// # Errors
+    /// Returns every fault with file, line, section and key.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Read {
+            path: path.to_owned(),
+            cause,
+        })?;
+        Self::parse(&path.display().to_string(), &text).map_err(SettingsError::Faults)
+    }
+
+    /// Parses and checks settings; `file` names them in faults.
+    ///
+    /// # Errors
+    /// Returns every fault with file, line, section and key.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Vec<IniFault>> {
+        let mut faults = Vec::new();
+        let mut front = None;
+        let mut store = None;
+        let mut grace = Duration::from_secs(30);
+        let mut budget = default_budget();
+        let mut regions = HashMap::new();
+        for mut section in ini::parse(file, text, &mut faults) {
+            match section.title() {
+                ("front", "") => front = read_front(section, &mut faults),
+                ("store", "") => store = read_store(section, &mut faults),
+                ("stop", "") => {
+                    grace = milliseconds(&mut section, "grace-ms", &mut faults).unwrap_or(grace);
+                    section.finish(STOP_KEYS, &mut faults);
+                }
+                ("budget", "") => budget = read_budget(section, &mut faults),
+                ("regions", "") => {
+                    let pairs = section.take_pairs().into_iter();
+                    regions.extend(pairs.map(|(name, region)| (FailureDomain::new(&name), region)));
+                }
+                _ => {
+                    let problem = format!("unknown section; allowed: {SECTIONS}");
+                    faults.push(section.fault_at("-", &problem));
+                }
+            }
+        }
+        if let (Some(mut settings), Some((address, watch))) = (front, store)
+            && faults.is_empty()
+        {
+            settings.store = address;
+            settings.watch_wait = watch;
+            settings.grace = grace;
+            settings.budget = budget;
+            settings.regions = regions;
+            return Ok(settings);
+        }
+        if faults.is_empty() {
+            faults.push(IniFault {
+                file: file.to_owned(),
+                line: 0,
+                section: String::new(),
+                key: "-".to_owned(),
+                problem: "a section is missing; needed: [front], [store]".to_owned(),
+            });
+        }
+        Err(faults)
+    }
+}
+
+fn default_budget() -> BudgetLimits {
+    BudgetLimits {
+        ratio: DEFAULT_RATIO,
+        allowance: DEFAULT_ALLOWANCE,
+        window: DEFAULT_WINDOW,
+    }
+}
+
+fn read_front(mut section: IniSection, faults: &mut Vec<IniFault>) -> Option<FrontSettings> {
+    let address = "an IP address and port";
+    let vm: Option<String> = section.required("vm", "the VM's name", faults);
+    let domain: Option<String> = section.required("failure-domain", "a name", faults);
+    let callers = section.required("callers", address, faults);
+    let readiness = section.required("readiness", address, faults);
+    let levels = "off, error, warn, info, debug, trace";
+    let log_level = section.optional("log-level", levels, faults);
+    let margin = milliseconds(&mut section, "answer-margin-ms", faults);
+    section.finish(FRONT_KEYS, faults);
+    Some(FrontSettings {
+        vm: VmName::new(&vm?),
+        domain: FailureDomain::new(&domain?),
+        regions: HashMap::new(),
+        callers: callers?,
+        readiness: readiness?,
+        log_level: log_level.unwrap_or(LevelFilter::Info),
+        store: callers?,
+        watch_wait: DEFAULT_WATCH,
+        answer_margin: margin.unwrap_or(DEFAULT_MARGIN),
+        grace: Duration::ZERO,
+        budget: default_budget(),
+    })
+}
+
+fn read_store(
+    mut section: IniSection,
+    faults: &mut Vec<IniFault>,
+) -> Option<(SocketAddr, Duration)> {
+    let address = section.required("address", "an IP address and port", faults);
+    let wait = milliseconds(&mut section, "watch-ms", faults);
+    section.finish(STORE_KEYS, faults);
+    Some((address?, wait.unwrap_or(DEFAULT_WATCH)))
+}
+
+fn read_budget(mut section: IniSection, faults: &mut Vec<IniFault>) -> BudgetLimits {
+    let mut limits = default_budget();
+    if let Some(ratio) = section.number_within("ratio", 0.0..=10.0, faults) {
+        limits.ratio = ratio;
+    }
+    if let Some(allowance) = section.number_within("allowance", 0.0..=1_000.0, faults) {
+        limits.allowance = allowance;
+    }
+    if let Some(window) = milliseconds(&mut section, "window-ms", faults) {
+        limits.window = window;
+    }
+    section.finish(BUDGET_KEYS, faults);
+    limits
+}
+
+fn milliseconds(
+    section: &mut IniSection,
+    key: &str,
+    faults: &mut Vec<IniFault>,
+) -> Option<Duration> {
+    let number = section.number_within(key, 0.0..=3_600_000.0, faults)?;
+    Some(Duration::from_millis(number as u64))
+}
--- a/crates/model/src/ini.rs
+++ b/crates/model/src/ini.rs
@@ -194,6 +194,15 @@
         }
     }
 
+    /// Takes all keys and values, where the keys are names that operators choose.
+    pub fn take_pairs(&mut self) -> Vec<(String, String)> {
+        let pairs = self.values.iter_mut().map(|(key, value)| {
+            value.used = true;
+            (key.clone(), value.text.clone())
+        });
+        pairs.collect()
+    }
+
     /// Reports every key that nothing took, naming those that are `known`.
     pub fn finish(self, known: &str, faults: &mut Vec<IniFault>) {
         for (key, value) in &self.values {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod layout;
 pub mod outcome;
 pub mod rank;
+pub mod registration;
+pub mod routing;
 pub mod rules;
 pub mod split;
 
@@ -28,4 +30,8 @@
 pub use layout::{LayoutError, ServiceLayout, ShardPlace, SnapshotLayout};
 pub use outcome::{AnswerOutcome, RefusalReason};
 pub use rank::{PerRank, RequestRank};
+pub use registration::{RegisteredState, ServerRecord};
+pub use routing::{
+    CallerLimits, GatherRule, RequestRoute, RouteTable, RouteTarget, RoutedService, WeightedService,
+};
 pub use rules::{CanaryMode, PolicySwitches, RankRule, RequestRule, TierRules};
--- /dev/null
+++ b/crates/policy/src/directory.rs
@@ -0,0 +1,149 @@
+//! The backend servers that are believed to be there, from their registrations.
+//!
+//! A registration that is gone means that its server leaves. But registrations
+//! also lapse while the store is down, and are renewed soon after its return. So
+//! after trouble with the store, or when many vanish at once, a server whose
+//! registration is missing is kept as a last resort for a short time.
+
+use camphorway_model::{ServerName, ServerRecord};
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+/// Lapsed registrations are back within two seconds of the store's return.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+/// A removal without any trouble is believed after this time.
+const REMOVAL_GRACE: Duration = Duration::from_millis(300);
+/// Removals of this part of all servers within [`BURST_TIME`] count as trouble.
+const BURST_PART: f64 = 0.2;
+const BURST_TIME: Duration = Duration::from_secs(1);
+
+/// All servers believed to be there.
+#[derive(Debug, Default)]
+pub struct ServerDirectory {
+    entries: HashMap<ServerName, DirectoryEntry>,
+    trouble: StoreTrouble,
+    removals: Vec<Instant>,
+}
+
+/// One server of the directory.
+#[derive(Clone, Debug)]
+pub struct DirectoryEntry {
+    /// Its newest registration.
+    pub record: ServerRecord,
+    /// Set while the registration is missing: when that is believed.
+    pub gone_at: Option<Instant>,
+}
+
+/// What was seen of the store itself.
+#[derive(Clone, Copy, Debug, Default)]
+enum StoreTrouble {
+    /// It answers.
+    #[default]
+    None,
+    /// It does not.
+    Lasting,
+    /// It answers again since then.
+    Over(Instant),
+}
+
+impl ServerDirectory {
+    /// The servers, with those whose registration is missing.
+    pub fn entries(&self) -> impl Iterator<Item = &DirectoryEntry> {
+        self.entries.values()
+    }
+
+    /// The number of servers.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there are no servers.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// The store did not answer.
+    pub fn store_lost(&mut self) {
+        self.trouble = StoreTrouble::Lasting;
+    }
+
+    /// The store answered.
+    pub fn store_answered(&mut self, now: Instant) {
+        if let StoreTrouble::Lasting = self.trouble {
+            self.trouble = StoreTrouble::Over(now);
+        }
+    }
+
+    /// Takes the whole list; what is not in it is missing.
+    pub fn take_list(&mut self, records: Vec<ServerRecord>, now: Instant) {
+        let listed: HashSet<ServerName> =
+            records.iter().map(|record| record.name.clone()).collect();
+        for record in records {
+            self.take(record);
+        }
+        let absent = |name: &&ServerName| !listed.contains(*name);
+        let missing: Vec<ServerName> = self.entries.keys().filter(absent).cloned().collect();
+        for name in missing {
+            self.remove(&name, now);
+        }
+    }
+
+    /// Takes a new or changed registration.
+    pub fn take(&mut self, record: ServerRecord) {
+        let entry = DirectoryEntry {
+            record,
+            gone_at: None,
+        };
+        self.entries.insert(entry.record.name.clone(), entry);
+    }
+
+    /// A registration is missing.
+    pub fn remove(&mut self, name: &ServerName, now: Instant) {
+        let is_known = |entry: &&mut DirectoryEntry| entry.gone_at.is_none();
+        if self.entries.get_mut(name).filter(is_known).is_none() {
+            return;
+        }
+        self.removals
+            .retain(|at| now.saturating_duration_since(*at) < BURST_TIME);
+        self.removals.push(now);
+        let at = now + REMOVAL_GRACE.max(self.lapse_left(now));
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.gone_at = Some(at);
+        }
+    }
+
+    /// Forgets the servers whose time is over; their names.
+    pub fn expire(&mut self, now: Instant) -> Vec<ServerName> {
+        let is_over = |entry: &&DirectoryEntry| entry.gone_at.is_some_and(|at| now >= at);
+        let over = self.entries.values().filter(is_over);
+        let names: Vec<ServerName> = over.map(|entry| entry.record.name.clone()).collect();
+        for name in &names {
+            self.entries.remove(name);
+        }
+        names
+    }
+
+    /// When [`Self::expire`] has something to do next.
+    pub fn next_expiry(&self) -> Option<Instant> {
+        self.entries
+            .values()
+            .filter_map(|entry| entry.gone_at)
+            .min()
+    }
+
+    /// How long a missing registration may still be a lapse.
+    fn lapse_left(&self, now: Instant) -> Duration {
+        let burst = self.removals.len() as f64 > (BURST_PART * self.entries.len() as f64).max(1.0);
+        let since = match self.trouble {
+            StoreTrouble::Lasting => return LAPSE_GRACE,
+            StoreTrouble::Over(at) => now.saturating_duration_since(at),
+            StoreTrouble::None => LAPSE_GRACE,
+        };
+        let after_trouble = LAPSE_GRACE.saturating_sub(since);
+        if burst {
+            after_trouble.max(LAPSE_GRACE)
+        } else {
+            after_trouble
+        }
+    }
+}
--- a/src/bin/camphorwayd.rs
+++ b/src/bin/camphorwayd.rs
@@ -1,7 +1,14 @@
 //! The daemon of the query tier.
 
+use camphorway_daemon::command::DaemonCommand;
+use clap::Parser;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    camphorway_daemon::command::main()
+    let command = DaemonCommand::parse();
+    if command.front {
+        camphorway_platform::command::main(&command)
+    } else {
+        camphorway_daemon::command::main(&command)
+    }
 }
