Stand-ins of the users' platform, and a test for each rule

Property tests of budget, split and records. One fault found by them: a server that stayed unreachable was tried again each second instead of ever more seldom (replica::an_unreachable_server_is_ closed_for_longer_each_time failed with [500, 1000, 1000, 1000, 1000]); the probe's own failure now doubles the time.

--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -89,6 +89,8 @@
     stalled_until: Option<Instant>,
     closed_until: Option<Instant>,
     closed_for: Duration,
+    /// Whether a call that tries a closed server again is running.
+    is_probing: bool,
     cold_until: Instant,
 }
 
@@ -105,6 +107,7 @@
             stalled_until: None,
             closed_until: None,
             closed_for: Duration::ZERO,
+            is_probing: false,
             cold_until: now + warmup_left,
         }
     }
@@ -153,6 +156,7 @@
         // ends, no other follows.
         if self.closed_until.is_some_and(|until| now >= until) {
             self.closed_until = Some(now + self.closed_for);
+            self.is_probing = true;
         }
         if self.stalled_until.is_some_and(|until| now >= until) {
             self.stalled_until = Some(now + STALL_LIFETIME);
@@ -172,6 +176,7 @@
                 self.stalled_until = None;
                 self.closed_until = None;
                 self.closed_for = Duration::ZERO;
+                self.is_probing = false;
                 let sample = took.as_secs_f64() * 1_000.0;
                 let mean = self.mean_ms.unwrap_or(sample);
                 self.mean_ms = Some(mean + SMOOTHING * (sample - mean));
@@ -191,7 +196,8 @@
     }
 
     fn close(&mut self, now: Instant) {
-        if self.closed_until.is_some_and(|until| now < until) && self.closed_for > FIRST_CLOSED {
+        // Calls that were sent before the server was closed say nothing new.
+        if self.is_closed(now) && !std::mem::take(&mut self.is_probing) {
             return;
         }
         self.closed_for = (self.closed_for * 2).clamp(FIRST_CLOSED, LONGEST_CLOSED);
--- /dev/null
+++ b/crates/policy/tests/all/directory.rs
@@ -0,0 +1,83 @@
+//! Registrations that vanish: leaving servers and lapses.
+
+use camphorway_model::{FailureDomain, RegisteredState, ServerName, ServerRecord, ServiceName};
+use camphorway_policy::ServerDirectory;
+use std::time::{Duration, Instant};
+
+fn record(number: usize) -> ServerRecord {
+    ServerRecord {
+        name: ServerName::new(&format!("server-{number}")),
+        service: ServiceName::new("portal"),
+        address: "127.0.0.1:9000".parse().expect("an address"),
+        domain: FailureDomain::new("a"),
+        slots: 2,
+        state: RegisteredState::Ready,
+        warmup_left: Duration::ZERO,
+        incarnation: 1,
+    }
+}
+
+fn directory(count: usize, now: Instant) -> ServerDirectory {
+    let mut directory = ServerDirectory::default();
+    directory.take_list((0..count).map(record).collect(), now);
+    directory
+}
+
+fn name(number: usize) -> ServerName {
+    ServerName::new(&format!("server-{number}"))
+}
+
+#[test]
+fn a_single_removal_is_believed_soon() {
+    let now = Instant::now();
+    let mut directory = directory(20, now);
+    directory.remove(&name(3), now);
+    let missing = directory.entries().filter(|entry| entry.gone_at.is_some());
+    assert_eq!(missing.count(), 1);
+    assert_eq!(
+        directory.expire(now + Duration::from_millis(400)),
+        [name(3)]
+    );
+    assert_eq!(directory.len(), 19);
+}
+
+#[test]
+fn a_lapse_during_trouble_is_kept_until_two_seconds_after_the_return() {
+    let now = Instant::now();
+    let mut directory = directory(20, now);
+    directory.store_lost();
+    let back = now + Duration::from_secs(4);
+    directory.store_answered(back);
+    directory.take_list((0..10).map(record).collect(), back);
+    assert!(
+        directory
+            .expire(back + Duration::from_millis(1_900))
+            .is_empty()
+    );
+    directory.take(record(15));
+    let gone = directory.expire(back + Duration::from_millis(2_300));
+    assert_eq!(gone.len(), 9);
+    assert!(!gone.contains(&name(15)), "it registered again");
+}
+
+#[test]
+fn many_removals_at_once_count_as_a_lapse() {
+    let now = Instant::now();
+    let mut directory = directory(10, now);
+    for number in 0..8 {
+        directory.remove(&name(number), now);
+    }
+    let soon = directory.expire(now + Duration::from_millis(500));
+    assert!(soon.len() <= 2, "{soon:?}");
+    let later = directory.expire(now + Duration::from_millis(2_300));
+    assert_eq!(soon.len() + later.len(), 8);
+}
+
+#[test]
+fn a_repeated_removal_does_not_prolong() {
+    let now = Instant::now();
+    let mut directory = directory(20, now);
+    directory.remove(&name(3), now);
+    directory.remove(&name(3), now + Duration::from_millis(200));
+    assert_eq!(directory.expire(now + Duration::from_millis(400)).len(), 1);
+}
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -2,8 +2,13 @@
 
 mod admission;
 mod claim;
+mod directory;
 mod dispatch;
 mod gate;
 mod hedge;
 mod quarantine;
+mod records;
+mod replica;
 mod silence;
+mod split;
+mod window_budget;
--- /dev/null
+++ b/crates/policy/tests/all/replica.rs
@@ -0,0 +1,98 @@
+//! What calls show of a server decides what it costs.
+
+use camphorway_policy::{ReplicaOutcome, ReplicaStats, ServerDistance};
+use std::time::{Duration, Instant};
+
+const TOOK: Duration = Duration::from_millis(10);
+
+fn stats(distance: ServerDistance, now: Instant) -> ReplicaStats {
+    ReplicaStats::new(distance, 2, Duration::ZERO, now)
+}
+
+fn answered(stats: &mut ReplicaStats, took: Duration, now: Instant) {
+    stats.started(now);
+    stats.ended(ReplicaOutcome::Answered, took, now);
+}
+
+#[test]
+fn a_near_server_costs_less_than_a_far_one_until_it_is_crowded() {
+    let now = Instant::now();
+    let mut near = stats(ServerDistance::Near, now);
+    let mut far = stats(ServerDistance::Far, now);
+    answered(&mut near, TOOK, now);
+    answered(&mut far, Duration::from_millis(35), now);
+    assert!(near.cost(now) < far.cost(now));
+    for _ in 0..12 {
+        near.started(now);
+    }
+    assert!(near.cost(now) > far.cost(now));
+}
+
+#[test]
+fn a_stalled_server_is_unsound_until_it_answers() {
+    let now = Instant::now();
+    let mut near = stats(ServerDistance::Near, now);
+    near.started(now);
+    near.stalled(now);
+    assert!(!near.is_sound(now));
+    near.ended(ReplicaOutcome::Answered, TOOK, now);
+    assert!(near.is_sound(now));
+}
+
+#[test]
+fn a_stall_ends_for_one_call_at_a_time() {
+    let now = Instant::now();
+    let mut near = stats(ServerDistance::Near, now);
+    near.started(now);
+    near.stalled(now);
+    let later = now + Duration::from_millis(400);
+    assert!(near.is_sound(later));
+    near.started(later);
+    assert!(!near.is_sound(later), "the probe keeps others away");
+}
+
+#[test]
+fn an_unreachable_server_is_closed_for_longer_each_time() {
+    let mut now = Instant::now();
+    let mut near = stats(ServerDistance::Near, now);
+    let mut waits = Vec::new();
+    for _ in 0..5 {
+        near.started(now);
+        near.ended(ReplicaOutcome::Unreachable, Duration::ZERO, now);
+        let closed_at = now;
+        while !near.is_sound(now) {
+            now += Duration::from_millis(50);
+        }
+        waits.push(now.saturating_duration_since(closed_at).as_millis());
+    }
+    assert_eq!(waits, [500, 1_000, 2_000, 4_000, 4_000]);
+    near.started(now);
+    near.ended(ReplicaOutcome::Answered, TOOK, now);
+    assert!(near.is_sound(now));
+}
+
+#[test]
+fn rejections_raise_the_cost_and_time_lowers_it() {
+    let now = Instant::now();
+    let mut near = stats(ServerDistance::Near, now);
+    answered(&mut near, TOOK, now);
+    let before = near.cost(now);
+    near.started(now);
+    near.ended(ReplicaOutcome::Rejected, TOOK, now);
+    let after = near.cost(now);
+    assert!(after > 2.0 * before, "{after} {before}");
+    let later = near.cost(now + Duration::from_secs(20));
+    assert!(later < 1.1 * before, "{later} {before}");
+}
+
+#[test]
+fn a_call_that_was_given_up_says_nothing() {
+    let now = Instant::now();
+    let mut near = stats(ServerDistance::Near, now);
+    answered(&mut near, TOOK, now);
+    let before = near.cost(now);
+    near.started(now);
+    near.ended(ReplicaOutcome::Abandoned, Duration::from_secs(9), now);
+    assert!((near.cost(now) - before).abs() < 1e-9);
+    assert_eq!(near.outstanding(), 0);
+}
--- /dev/null
+++ b/crates/policy/tests/all/window_budget.rs
@@ -0,0 +1,79 @@
+//! Extra calls stay within the ratio in every window.
+
+use camphorway_policy::{BudgetLimits, WindowBudget};
+use proptest::prelude::*;
+use std::time::{Duration, Instant};
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn limits(ratio: f64) -> BudgetLimits {
+    BudgetLimits {
+        ratio,
+        allowance: 1.0,
+        window: WINDOW,
+    }
+}
+
+proptest! {
+    /// As the users count: in any window, extra calls against first calls of
+    /// that window and half a window before it.
+    #[test]
+    fn any_window_stays_within_the_ratio(
+        ratio in 0.0..0.5_f64,
+        rates in proptest::collection::vec((0_u32..60, 0_u32..60), 1..40),
+    ) {
+        let start = Instant::now();
+        let mut budget = WindowBudget::new(limits(ratio));
+        let mut firsts = Vec::new();
+        let mut extras = Vec::new();
+        for (second, (first, extra)) in rates.iter().enumerate() {
+            let now = start + Duration::from_secs(second as u64);
+            for _ in 0..*first {
+                budget.earn(now);
+                firsts.push(now);
+            }
+            for _ in 0..*extra {
+                if budget.spend(0.0, now) {
+                    extras.push(now);
+                }
+            }
+        }
+        for end in &extras {
+            let within = |at: &&Instant, span: Duration| **at <= *end && **at + span > *end;
+            let spent = extras.iter().filter(|at| within(at, WINDOW)).count();
+            let earned = firsts.iter().filter(|at| within(at, WINDOW * 3 / 2)).count();
+            prop_assert!(spent as f64 <= ratio * earned as f64 + 1.0, "{spent} of {earned}");
+        }
+    }
+}
+
+#[test]
+fn an_old_window_is_forgotten() {
+    let start = Instant::now();
+    let mut budget = WindowBudget::new(limits(0.5));
+    for _ in 0..10 {
+        budget.earn(start);
+    }
+    while budget.spend(0.0, start) {}
+    assert!(budget.left(start) < 1.0);
+    let later = start + WINDOW * 2;
+    assert!((budget.left(later) - 1.0).abs() < f64::EPSILON);
+}
+
+#[test]
+fn a_reserve_is_left_to_others() {
+    let now = Instant::now();
+    let mut budget = WindowBudget::new(limits(0.2));
+    for _ in 0..95 {
+        budget.earn(now);
+    }
+    let mut reserved = 0;
+    while budget.spend(0.5, now) {
+        reserved += 1;
+    }
+    let mut rest = 0;
+    while budget.spend(0.0, now) {
+        rest += 1;
+    }
+    assert_eq!((reserved, rest), (10, 10));
+}
--- a/crates/standins/src/fleet/process.rs
+++ b/crates/standins/src/fleet/process.rs
@@ -48,6 +48,22 @@
         kill_process(pid, signal).map_err(io::Error::from)
     }
 
+    /// Starts a program whose output goes to a file of `directory`.
+    ///
+    /// # Errors
+    /// Returns the system's error.
+    pub fn spawn(program: &Path, arguments: &[&str], directory: &Path) -> io::Result<Self> {
+        let log = directory.join(format!("process-{}.log", free_address().port()));
+        let file = File::create(&log)?;
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(file.try_clone()?)
+            .stderr(file)
+            .spawn()?;
+        Ok(Self::new(child, log))
+    }
+
     /// Takes over a process that was just started.
     pub(super) fn new(child: Child, log: PathBuf) -> Self {
         started().push(Pid::from_child(&child));
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod load;
 pub mod platform;
 pub mod relay;
+pub mod routed;
 pub mod server;
 pub mod server_control;
 pub mod shape;
--- /dev/null
+++ b/crates/standins/src/routed/http_text.rs
@@ -0,0 +1,82 @@
+//! HTTP/1.1 messages read and written by hand, so that a stand-in can also send
+//! what no library would.
+
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufReader, Read};
+use std::net::TcpStream;
+
+/// A message that was read whole.
+#[derive(Clone, Debug, Default)]
+pub struct HttpText {
+    /// The first line.
+    pub first_line: String,
+    /// Headers by name in lower case; values of repeated ones are joined by commas.
+    pub headers: BTreeMap<String, String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl HttpText {
+    /// Reads the next message; none if the connection ended before one began.
+    ///
+    /// # Errors
+    /// Returns the system's error, or one for a message that broke off.
+    pub fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Self>> {
+        let mut message = Self::default();
+        if reader.read_line(&mut message.first_line)? == 0 {
+            return Ok(None);
+        }
+        message.first_line = message.first_line.trim_end().to_owned();
+        loop {
+            let mut line = String::new();
+            if reader.read_line(&mut line)? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            let line = line.trim_end();
+            if line.is_empty() {
+                break;
+            }
+            if let Some((name, value)) = line.split_once(':') {
+                let entry = message.headers.entry(name.to_ascii_lowercase());
+                let value = value.trim();
+                entry
+                    .and_modify(|text| *text = format!("{text},{value}"))
+                    .or_insert_with(|| value.to_owned());
+            }
+        }
+        let length: usize = message.header("content-length").parse().unwrap_or(0);
+        message.body = vec![0; length];
+        reader.read_exact(&mut message.body)?;
+        Ok(Some(message))
+    }
+
+    /// A header's value; empty if it is missing.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .map(String::as_str)
+            .unwrap_or_default()
+    }
+
+    /// The second word of the first line: a request's target, an answer's status.
+    pub fn second_word(&self) -> &str {
+        self.first_line.split(' ').nth(1).unwrap_or_default()
+    }
+
+    /// An answer's status; 0 if it has none.
+    pub fn status(&self) -> u16 {
+        self.second_word().parse().unwrap_or(0)
+    }
+}
+
+/// The bytes of an answer with a length.
+pub fn answer_bytes(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status} X\r\ncontent-length: {}\r\n", body.len());
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
--- /dev/null
+++ b/crates/standins/src/routed/stage.rs
@@ -0,0 +1,266 @@
+//! A whole deployment on loopback: the object store, backend servers, and
+//! fronts as real processes.
+
+use crate::fleet::{FleetProcess, free_address, wait_for};
+use crate::routed::http_text::HttpText;
+use crate::routed::object_store::ObjectStore;
+use crate::routed::signed_server::SignedServer;
+use serde_json::{Value, json};
+use std::fmt::Write as _;
+use std::fs;
+use std::io::{self, BufReader, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The host of all routes.
+pub const HOST: &str = "portal.example";
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+/// A deployment.
+#[derive(Debug)]
+pub struct RoutedStage {
+    /// The object store.
+    pub store: Arc<ObjectStore>,
+    /// The servers by service.
+    pub servers: Vec<Vec<Arc<SignedServer>>>,
+    /// The fronts.
+    pub fronts: Vec<StageFront>,
+    store_address: SocketAddr,
+    directory: PathBuf,
+    binary: PathBuf,
+    version: u64,
+}
+
+/// One front.
+#[derive(Debug)]
+pub struct StageFront {
+    /// Its process.
+    pub process: FleetProcess,
+    /// Where callers are served.
+    pub callers: SocketAddr,
+    /// Where readiness is asked.
+    pub readiness: SocketAddr,
+}
+
+impl RoutedStage {
+    /// Starts a store, `services` services of three servers each, one a failure
+    /// domain, and `fronts` fronts; `binary` is the daemon's program. The first
+    /// configuration has the routes of [`Self::routes`].
+    ///
+    /// # Errors
+    /// Returns the system's error, or one if a front does not become ready.
+    pub fn start(binary: &Path, services: usize, fronts: usize) -> io::Result<Self> {
+        let (store, store_address) = ObjectStore::start()?;
+        let directory = std::env::temp_dir().join(format!("routed-{}", free_address().port()));
+        fs::create_dir_all(&directory)?;
+        let mut stage = Self {
+            store,
+            servers: Vec::new(),
+            fronts: Vec::new(),
+            store_address,
+            directory,
+            binary: binary.to_owned(),
+            version: 0,
+        };
+        for service in 0..services {
+            let mut servers = Vec::new();
+            for (index, domain) in DOMAINS.iter().enumerate() {
+                let name = format!("i-{service}-{index}");
+                let server = SignedServer::start(&name, records(service))?;
+                stage.register(&server, &service_name(service), domain, "ready");
+                servers.push(server);
+            }
+            stage.servers.push(servers);
+        }
+        stage.configure(&stage.routes());
+        for index in 0..fronts {
+            stage.add_front(DOMAINS[index % DOMAINS.len()])?;
+        }
+        stage.wait_ready()?;
+        Ok(stage)
+    }
+
+    /// Starts one more front, without waiting for it.
+    ///
+    /// # Errors
+    /// Returns the system's error.
+    pub fn add_front(&mut self, domain: &str) -> io::Result<()> {
+        let (callers, readiness) = (free_address(), free_address());
+        let settings = self.directory.join(format!("front-{}.ini", callers.port()));
+        let mut text = format!(
+            "[front]\nvm = vm-{}\nfailure-domain = {domain}\ncallers = {callers}\n\
+             readiness = {readiness}\n[store]\naddress = {}\nwatch-ms = 1000\n\
+             [stop]\ngrace-ms = 4000\n[budget]\nratio = 0.2\nallowance = 5\n[regions]\n",
+            callers.port(),
+            self.store_address
+        );
+        for domain in DOMAINS {
+            // Writing to memory can't fail.
+            let _ = writeln!(text, "{domain} = region-{domain}");
+        }
+        fs::write(&settings, text)?;
+        let arguments = ["--front", "--settings", &settings.display().to_string()];
+        let process = FleetProcess::spawn(&self.binary, &arguments, &self.directory)?;
+        self.fronts.push(StageFront {
+            process,
+            callers,
+            readiness,
+        });
+        Ok(())
+    }
+
+    /// Waits until all fronts are ready.
+    ///
+    /// # Errors
+    /// Returns an error if that takes too long.
+    pub fn wait_ready(&self) -> io::Result<()> {
+        for front in &self.fronts {
+            wait_for(|| front.is_ready(), "a front to be ready")?;
+        }
+        Ok(())
+    }
+
+    /// A route to each service (`/s0/`), one over all (`/all/`), and one to the
+    /// first whose requests run at most once (`/once/`).
+    pub fn routes(&self) -> Vec<Value> {
+        let count = self.servers.len();
+        let names: Vec<String> = (0..count).map(service_name).collect();
+        let mut routes: Vec<Value> = names
+            .iter()
+            .enumerate()
+            .map(|(index, name)| {
+                let mut route = route(&format!("/s{index}/"), "idempotent");
+                route["service"] = json!(name);
+                route
+            })
+            .collect();
+        let mut once = route("/once/", "non_idempotent");
+        once["service"] = json!(names[0]);
+        let mut all = route("/all/", "idempotent");
+        all["gather"] = json!(names);
+        all["topK"] = json!(4);
+        all["minShare"] = json!(0.6);
+        routes.extend([once, all]);
+        routes
+    }
+
+    /// Writes the next configuration; its version.
+    pub fn configure(&mut self, routes: &[Value]) -> u64 {
+        self.version += 3;
+        let services: Vec<Value> = (0..self.servers.len())
+            .map(|service| {
+                json!({ "name": service_name(service), "healthPath": "/health",
+                    "maxConns": 26, "protocol": "h1", "tls": false })
+            })
+            .collect();
+        let limits = json!({ "maxHeaderBytes": 16384, "maxBodyBytes": 4096,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 });
+        let spec = json!({ "version": self.version, "routes": routes,
+            "services": services, "limits": limits });
+        self.store.put("config", "main", &spec);
+        self.version
+    }
+
+    /// Writes a server's registration.
+    pub fn register(&self, server: &SignedServer, service: &str, domain: &str, state: &str) {
+        let spec = json!({ "service": service, "address": server.address, "zone": domain,
+            "version": "v1", "slots": 2, "state": state, "warmupLeftMs": 0, "seq": 1,
+            "born": 1 });
+        self.store.put("servers", &server.name, &spec);
+    }
+
+    /// Asks the front with this index; the answer.
+    ///
+    /// # Errors
+    /// Returns the system's error, or one if there was no whole answer.
+    pub fn ask(&self, front: usize, method: &str, path: &str, id: &str) -> io::Result<HttpText> {
+        self.fronts[front].ask(method, path, id, 1_000)
+    }
+
+    /// How often servers ran the request.
+    pub fn runs(&self, id: &str) -> usize {
+        let servers = self.servers.iter().flatten();
+        let ran = |server: &Arc<SignedServer>| {
+            let arrivals = server.arrivals();
+            let of_id = arrivals.iter().filter(|arrival| arrival.request == id);
+            of_id.filter(|arrival| arrival.ran).count()
+        };
+        servers.map(ran).sum()
+    }
+}
+
+impl Drop for RoutedStage {
+    fn drop(&mut self) {
+        // What is left lies in the directory for temporary files.
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
+impl StageFront {
+    /// Whether it says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        exchange(self.readiness, b"GET /v1/ready HTTP/1.1\r\nHost: f\r\n\r\n")
+            .is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Its metrics.
+    ///
+    /// # Errors
+    /// Returns the system's error.
+    pub fn metrics(&self) -> io::Result<String> {
+        let answer = exchange(self.readiness, b"GET /metrics HTTP/1.1\r\nHost: f\r\n\r\n")?;
+        Ok(String::from_utf8_lossy(&answer.body).into_owned())
+    }
+
+    /// Asks over a connection of its own.
+    ///
+    /// # Errors
+    /// Returns the system's error, or one if there was no whole answer.
+    pub fn ask(&self, method: &str, path: &str, id: &str, limit_ms: u64) -> io::Result<HttpText> {
+        exchange(
+            self.callers,
+            request_text(method, path, id, limit_ms).as_bytes(),
+        )
+    }
+}
+
+/// The text of a request without a body.
+pub fn request_text(method: &str, path: &str, id: &str, limit_ms: u64) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\n\
+         Deadline-Ms: {limit_ms}\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+/// Sends bytes over a new connection and reads one answer.
+///
+/// # Errors
+/// Returns the system's error, or one if there was no whole answer.
+pub fn exchange(address: SocketAddr, request: &[u8]) -> io::Result<HttpText> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(CALL_LIMIT))?;
+    stream.write_all(request)?;
+    let answer = HttpText::read(&mut BufReader::new(stream))?;
+    answer.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+}
+
+/// The name of a service.
+pub fn service_name(service: usize) -> String {
+    format!("service{service}")
+}
+
+/// The records that the servers of a service answer with.
+pub fn records(service: usize) -> Vec<[u8; 16]> {
+    (0..5_u8)
+        .map(|number| [number * 40 + service as u8; 16])
+        .collect()
+}
+
+fn route(prefix: &str, kind: &str) -> Value {
+    json!({ "name": format!("route{}", prefix.replace('/', "-")), "host": HOST,
+        "pathPrefix": prefix, "kind": kind, "timeoutMs": 1000, "goalMs": 200,
+        "priority": 0, "attempts": 2 })
+}
--- /dev/null
+++ b/tests/all/front.rs
@@ -0,0 +1,23 @@
+//! Fronts as real processes between callers, signing servers and an object
+//! store, each rule that the users' platform judges in turn.
+
+mod answers;
+mod configuration;
+mod departures;
+mod faults;
+mod store_faults;
+
+use camphorway_standins::routed::stage::RoutedStage;
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+static NEXT_ID: AtomicU64 = AtomicU64::new(1);
+
+fn stage(services: usize, fronts: usize) -> RoutedStage {
+    let binary = Path::new(env!("CARGO_BIN_EXE_camphorwayd"));
+    RoutedStage::start(binary, services, fronts).expect("a stage")
+}
+
+fn new_id() -> String {
+    format!("req{:013x}", NEXT_ID.fetch_add(1, Ordering::Relaxed))
+}
--- /dev/null
+++ b/tests/all/front/answers.rs
@@ -0,0 +1,131 @@
+//! What a caller gets on a quiet day.
+
+use super::{new_id, stage};
+use camphorway_standins::routed::stage::{RoutedStage, exchange, records, request_text};
+
+fn greatest(services: usize, count: usize) -> Vec<u8> {
+    let mut all: Vec<[u8; 16]> = (0..services).flat_map(records).collect();
+    all.sort_unstable_by(|one, other| other.cmp(one));
+    all.into_iter().take(count).flatten().collect()
+}
+
+#[test]
+fn one_server_s_answer_is_passed_on_whole() {
+    let stage = stage(1, 1);
+    let answer = stage
+        .ask(0, "GET", "/s0/x?y=1", &new_id())
+        .expect("an answer");
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.body, records(0).concat());
+    assert!(answer.header("server-stamp").starts_with("i-0-0."));
+    let arrivals = stage.servers[0][0].arrivals();
+    assert_eq!(arrivals[0].target, "GET /s0/x?y=1");
+    assert!(arrivals[0].time_left_ms.expect("a time limit") <= 1_000);
+}
+
+#[test]
+fn parts_are_merged_with_their_signatures() {
+    let stage = stage(3, 1);
+    let answer = stage.ask(0, "GET", "/all/q", &new_id()).expect("an answer");
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.body, greatest(3, 4));
+    assert_eq!(answer.header("missing-parts"), "0");
+    let mut signatures: Vec<&str> = answer.header("part-stamps").split(", ").collect();
+    signatures.sort_unstable();
+    assert_eq!(signatures.len(), 3);
+    for (service, signature) in signatures.iter().enumerate() {
+        assert!(
+            signature.starts_with(&format!("i-{service}-")),
+            "{signature}"
+        );
+    }
+}
+
+#[test]
+fn a_shard_that_is_gone_is_counted_as_missing() {
+    let stage = stage(3, 1);
+    for server in &stage.servers[2] {
+        server.end();
+    }
+    let answer = stage.ask(0, "GET", "/all/q", &new_id()).expect("an answer");
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.header("missing-parts"), "1");
+    assert_eq!(answer.body, greatest(2, 4));
+}
+
+#[test]
+fn too_few_shards_are_no_success() {
+    let stage = stage(3, 1);
+    for server in stage.servers[1..].iter().flatten() {
+        server.end();
+    }
+    let answer = stage.ask(0, "GET", "/all/q", &new_id()).expect("an answer");
+    assert_eq!(answer.status(), 502, "{answer:?}");
+}
+
+#[test]
+fn requests_that_can_t_be_served_are_told_so() {
+    let stage = stage(1, 1);
+    let status = |text: &str| {
+        let answer = exchange(stage.fronts[0].callers, text.as_bytes());
+        answer.expect("an answer").status()
+    };
+    let no_route = request_text("GET", "/nowhere/", &new_id(), 500);
+    assert_eq!(status(&no_route), 404);
+    let other_host = request_text("GET", "/s0/", &new_id(), 500).replace("portal", "other");
+    assert_eq!(status(&other_host), 404);
+    let no_id = "GET /s0/ HTTP/1.1\r\nHost: portal.example\r\n\r\n";
+    assert_eq!(status(no_id), 400);
+    let large = request_text("POST", "/once/", &new_id(), 500)
+        .replace("Content-Length: 0", "Content-Length: 5000");
+    assert_eq!(status(&format!("{large}{}", "x".repeat(5_000))), 413);
+    let both = request_text("POST", "/once/", &new_id(), 500).replace(
+        "Content-Length: 0",
+        "Content-Length: 0\r\nTransfer-Encoding: chunked",
+    );
+    let smuggled = format!("{both}0\r\n\r\nGET /s0/smuggled HTTP/1.1\r\n\r\n");
+    status(&smuggled);
+    assert!(never_seen(&stage, "smuggled"));
+}
+
+fn never_seen(stage: &RoutedStage, target: &str) -> bool {
+    let arrivals = stage
+        .servers
+        .iter()
+        .flatten()
+        .flat_map(|server| server.arrivals());
+    arrivals
+        .into_iter()
+        .all(|arrival| !arrival.target.contains(target))
+}
+
+#[test]
+fn servers_at_reused_addresses_do_not_run_what_is_not_theirs() {
+    let stage = stage(2, 1);
+    // The registration of service 0 now points to a server of service 1.
+    let reused = &stage.servers[1][0];
+    for server in &stage.servers[0][1..] {
+        stage.store.remove("servers", &server.name);
+        server.end();
+    }
+    stage.servers[0][0].end();
+    let spec = serde_json::json!({ "service": "service0", "address": reused.address, "zone": "a",
+        "version": "v1", "slots": 2, "state": "ready", "warmupLeftMs": 0, "seq": 9, "born": 2 });
+    stage.store.put("servers", "i-0-0", &spec);
+    std::thread::sleep(std::time::Duration::from_millis(700));
+    let id = new_id();
+    let answer = stage.ask(0, "GET", "/s0/", &id).expect("an answer");
+    assert_eq!(answer.status(), 503, "{answer:?}");
+    assert_eq!(stage.runs(&id), 0);
+}
+
+#[test]
+fn the_metrics_count_requests() {
+    let stage = stage(1, 1);
+    for _ in 0..3 {
+        stage.ask(0, "GET", "/s0/", &new_id()).expect("an answer");
+    }
+    let metrics = stage.fronts[0].metrics().expect("metrics");
+    let line = "front_requests_total{outcome=\"passed\",priority=\"0\"} 3";
+    assert!(metrics.contains(line), "{metrics}");
+}
--- /dev/null
+++ b/tests/all/front/configuration.rs
@@ -0,0 +1,111 @@
+//! Configurations come into force soon, whole, and never go back.
+
+use super::{new_id, stage};
+use camphorway_standins::routed::stage::RoutedStage;
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+fn wait_status(stage: &RoutedStage, front: usize, path: &str, status: u16) {
+    let began = Instant::now();
+    while began.elapsed() < IN_FORCE {
+        let answer = stage.ask(front, "GET", path, &new_id()).expect("an answer");
+        if answer.status() == status {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    panic!("{path} is not {status} after {IN_FORCE:?} at front {front}");
+}
+
+#[test]
+fn a_new_route_is_in_force_at_all_fronts() {
+    let mut stage = stage(2, 3);
+    let mut routes = stage.routes();
+    let mut added = routes[1].clone();
+    added["pathPrefix"] = json!("/s0/deeper/");
+    added["name"] = json!("deeper");
+    routes.push(added);
+    stage.configure(&routes);
+    for front in 0..3 {
+        let began = Instant::now();
+        loop {
+            let answer = stage.ask(front, "GET", "/s0/deeper/x", &new_id());
+            let signature = answer.expect("an answer").header("server-stamp").to_owned();
+            if signature.starts_with("i-1-") {
+                break;
+            }
+            assert!(began.elapsed() < IN_FORCE, "the longest prefix wins");
+        }
+    }
+    stage.configure(&stage.routes());
+    for front in 0..3 {
+        wait_status(&stage, front, "/s0/deeper/x", 200);
+    }
+}
+
+#[test]
+fn a_dropped_route_is_gone_and_an_old_version_does_not_come_back() {
+    let mut stage = stage(1, 1);
+    let routes = stage.routes();
+    stage.configure(&routes[1..]);
+    wait_status(&stage, 0, "/s0/", 404);
+    // An object with an older version, as a lagging reader might give.
+    let old = json!({ "version": 1, "routes": routes, "services": [],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 4096,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 } });
+    stage.store.put("config", "main", &old);
+    std::thread::sleep(Duration::from_millis(300));
+    let answer = stage.ask(0, "GET", "/s0/", &new_id()).expect("an answer");
+    assert_eq!(answer.status(), 404);
+}
+
+#[test]
+fn what_can_t_be_read_changes_nothing() {
+    let stage = stage(1, 1);
+    stage.store.put(
+        "config",
+        "main",
+        &json!({ "version": 1000, "routes": "none" }),
+    );
+    stage
+        .store
+        .put("servers", "i-foreign", &json!({ "service": 7 }));
+    let unknown_state = json!({ "service": "service0", "address": "127.0.0.1:1", "zone": "a",
+        "slots": 2, "state": "odd", "seq": 1, "born": 1 });
+    stage.store.put("servers", "i-odd", &unknown_state);
+    std::thread::sleep(Duration::from_millis(300));
+    for _ in 0..10 {
+        let answer = stage.ask(0, "GET", "/s0/", &new_id()).expect("an answer");
+        assert_eq!(answer.status(), 200);
+    }
+    let log = stage.fronts[0].process.log();
+    for name in ["main", "i-foreign", "i-odd"] {
+        let line = format!("name={name}");
+        assert!(log.contains(&line), "{name} is not named in the log");
+    }
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    let mut stage = stage(2, 1);
+    let mut routes = stage.routes();
+    let mut split = routes[0].clone();
+    split["pathPrefix"] = json!("/split/");
+    split["name"] = json!("split");
+    split.as_object_mut().expect("an object").remove("service");
+    split["split"] = json!([{ "service": "service0", "weight": 3 },
+        { "service": "service1", "weight": 1 }]);
+    routes.push(split);
+    stage.configure(&routes);
+    wait_status(&stage, 0, "/split/", 200);
+    let mut first = 0;
+    for _ in 0..80 {
+        let answer = stage
+            .ask(0, "GET", "/split/", &new_id())
+            .expect("an answer");
+        first += usize::from(answer.header("server-stamp").starts_with("i-0-"));
+    }
+    assert!((58..=62).contains(&first), "{first} of 80");
+}
--- /dev/null
+++ b/tests/all/front/faults.rs
@@ -0,0 +1,171 @@
+//! Faulty servers: whole answers only, at most once where asked, and honest
+//! refusals.
+
+use super::{new_id, stage};
+use camphorway_standins::routed::signed_server::ServerFault;
+use camphorway_standins::routed::stage::{records, request_text};
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+#[test]
+fn a_fault_of_one_server_is_made_good_by_another() {
+    let faults = [
+        ServerFault::Reject,
+        ServerFault::Fail,
+        ServerFault::LoseAnswer,
+        ServerFault::Truncate,
+        ServerFault::Foreign,
+        ServerFault::UnframedReset,
+        ServerFault::Unsigned,
+        ServerFault::Hang,
+        ServerFault::Crash,
+    ];
+    for fault in faults {
+        let stage = stage(1, 1);
+        stage.servers[0][0].set_fault(fault);
+        let answer = stage.ask(0, "GET", "/s0/", &new_id()).expect("an answer");
+        assert_eq!(answer.status(), 200, "{fault:?}: {answer:?}");
+        assert_eq!(answer.body, records(0).concat(), "{fault:?}");
+    }
+}
+
+#[test]
+fn an_answer_without_a_length_is_whole_if_the_connection_ends_well() {
+    let stage = stage(1, 1);
+    stage.servers[0][0].set_fault(ServerFault::Unframed);
+    let answer = stage.ask(0, "GET", "/s0/", &new_id()).expect("an answer");
+    assert_eq!(answer.body, records(0).concat());
+    assert!(
+        answer.header("server-stamp").starts_with("i-0-0."),
+        "{answer:?}"
+    );
+}
+
+#[test]
+fn a_second_answer_reaches_nobody() {
+    let stage = stage(1, 1);
+    stage.servers[0][0].set_fault(ServerFault::Extra);
+    for _ in 0..20 {
+        let id = new_id();
+        let answer = stage.ask(0, "GET", "/s0/", &id).expect("an answer");
+        assert_eq!(answer.header("request-id"), id);
+    }
+}
+
+#[test]
+fn what_must_run_once_is_never_repeated_once_it_may_have_run() {
+    let faults = [
+        ServerFault::Fail,
+        ServerFault::LoseAnswer,
+        ServerFault::Truncate,
+        ServerFault::Foreign,
+        ServerFault::Unsigned,
+        ServerFault::Hang,
+        ServerFault::Crash,
+    ];
+    for fault in faults {
+        let stage = stage(1, 1);
+        for server in &stage.servers[0] {
+            server.set_fault(fault);
+        }
+        let id = new_id();
+        let answer = stage.ask(0, "POST", "/once/", &id).expect("an answer");
+        assert_eq!(stage.runs(&id), 1, "{fault:?}");
+        let promises_not_run = matches!(answer.status(), 408 | 421 | 429 | 503);
+        assert!(!promises_not_run, "{fault:?}: {answer:?}");
+    }
+}
+
+#[test]
+fn what_was_rejected_runs_elsewhere_once() {
+    let stage = stage(1, 1);
+    stage.servers[0][0].set_fault(ServerFault::Reject);
+    let id = new_id();
+    let answer = stage.ask(0, "POST", "/once/", &id).expect("an answer");
+    assert_eq!(answer.status(), 200);
+    assert_eq!(stage.runs(&id), 1);
+}
+
+#[test]
+fn a_refusal_names_a_time_and_is_true() {
+    let stage = stage(1, 1);
+    for server in &stage.servers[0] {
+        server.set_fault(ServerFault::Reject);
+    }
+    let id = new_id();
+    let began = Instant::now();
+    let answer = stage.ask(0, "POST", "/once/", &id).expect("an answer");
+    assert_eq!(answer.status(), 503);
+    let wait: f64 = answer.header("retry-after").parse().expect("seconds");
+    assert!(wait > 0.0 && wait < 1.0, "{wait}");
+    assert_eq!(stage.runs(&id), 0);
+    assert!(
+        began.elapsed() < Duration::from_millis(500),
+        "it is told at once"
+    );
+}
+
+#[test]
+fn a_failure_of_the_server_is_passed_on_as_it_is() {
+    let stage = stage(1, 1);
+    for server in &stage.servers[0] {
+        server.set_fault(ServerFault::Fail);
+    }
+    let answer = stage.ask(0, "GET", "/s0/", &new_id()).expect("an answer");
+    assert_eq!(answer.status(), 500);
+    assert!(!answer.header("server-stamp").is_empty());
+}
+
+#[test]
+fn the_route_s_time_limit_is_kept() {
+    let stage = stage(1, 1);
+    for server in &stage.servers[0] {
+        server.set_fault(ServerFault::Hang);
+    }
+    let began = Instant::now();
+    let answer = stage.fronts[0].ask("GET", "/s0/", &new_id(), 5_000);
+    assert_eq!(answer.expect("an answer").status(), 504);
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(1_500), "{took:?}");
+}
+
+#[test]
+fn a_caller_that_leaves_leaves_no_work() {
+    let stage = stage(1, 1);
+    for server in &stage.servers[0] {
+        server.set_work(Duration::from_millis(900));
+    }
+    let id = new_id();
+    let mut stream = TcpStream::connect(stage.fronts[0].callers).expect("a connection");
+    let request = request_text("GET", "/s0/", &id, 5_000);
+    stream
+        .write_all(request.as_bytes())
+        .expect("a sent request");
+    std::thread::sleep(Duration::from_millis(30));
+    drop(stream);
+    let left_at = Instant::now();
+    std::thread::sleep(Duration::from_millis(1_200));
+    let arrivals = stage.servers[0].iter().flat_map(|server| server.arrivals());
+    let late = arrivals.filter(|arrival| arrival.at > left_at + Duration::from_millis(500));
+    assert_eq!(late.count(), 0);
+}
+
+#[test]
+fn extra_calls_stay_within_the_budget() {
+    let stage = stage(1, 1);
+    for server in &stage.servers[0] {
+        server.set_fault(ServerFault::Fail);
+    }
+    let requests = 100;
+    for _ in 0..requests {
+        stage.ask(0, "GET", "/s0/", &new_id()).expect("an answer");
+    }
+    let arrivals: usize = stage.servers[0]
+        .iter()
+        .map(|server| server.arrivals().len())
+        .sum();
+    // The ratio 0.2 and the allowance of 5 of the stage's settings.
+    let most = requests + requests / 5 + 5;
+    assert!(arrivals <= most, "{arrivals} of {most}");
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod examples;
 mod failover;
 mod flood;
+mod front;
 mod leaving;
 mod once;
 mod operator;
