--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -39,7 +39,6 @@
     parts: ControlParts,
     routes: Option<Arc<RouteTable>>,
     directory: ServerDirectory,
-    knows_servers: bool,
     services: HashMap<ServiceName, Arc<ServiceLines>>,
 }
 
@@ -50,7 +49,6 @@
             parts,
             routes: None,
             directory: ServerDirectory::default(),
-            knows_servers: false,
             services: HashMap::new(),
         }
     }
@@ -95,7 +93,6 @@
             }
             FeedNews::Regained(_) => {
                 self.directory.store_answered(now);
-                return;
             }
         }
         self.publish();
@@ -117,7 +114,6 @@
             revision = items.revision
         );
         self.directory.take_list(records, now);
-        self.knows_servers = true;
     }
 
     fn take_item(&mut self, item: SourceItem) {
@@ -191,8 +187,9 @@
             let service = entry.record.service.clone();
             by_service.entry(service).or_default().push(entry.clone());
         }
-        // A service that lost all servers keeps its budget until they are back.
-        for service in self.services.keys() {
+        // A service without servers keeps its budget, and requests may wait there.
+        let routed = self.routes.iter().flat_map(|routes| routes.services());
+        for service in self.services.keys().chain(routed) {
             by_service.entry(service.clone()).or_default();
         }
         let mut services = HashMap::new();
@@ -204,7 +201,8 @@
         self.parts.view.store(FrontView {
             routes: self.routes.clone(),
             services: Arc::new(self.services.clone()),
-            knows_servers: self.knows_servers,
+            knows_servers: self.directory.is_listed(),
+            settles_at: self.directory.settles_at(),
         });
     }
 
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -13,7 +13,9 @@
 use crate::fan_out::part::{PartProgress, RunningCall};
 use crate::metrics::FrontMetrics;
 use crate::ports::WireDialect;
-use crate::server_call::{CallEnd, CallOrder, CallTools, NotRunCause, UnsentCause};
+use crate::server_call::{
+    CallEnd, CallOrder, CallTools, MOST_IDLE, NotRunCause, ONCE_MOST_IDLE, UnsentCause,
+};
 use crate::server_line::{AcquireError, LinePermit, ServiceLines};
 use crate::view::SharedFront;
 use async_channel::{Receiver, Sender};
@@ -241,15 +243,25 @@
         {
             lines.budget().earn(now);
         }
-        match lines.acquire(&self.progress[part].tried, now) {
+        let most_idle = if self.request.route.idempotent {
+            MOST_IDLE
+        } else {
+            ONCE_MOST_IDLE
+        };
+        match lines.acquire(&self.progress[part].tried, most_idle, now) {
             Ok(permit) => {
                 if self.may_send(part, purpose, lines, now) {
                     self.send(part, purpose, permit);
                 }
             }
-            Err(AcquireError::NoServer) => self.progress[part].last = "no-server",
-            Err(AcquireError::Busy) if purpose == CallPurpose::Hedge => {}
-            Err(AcquireError::Busy) => self.wait_for_room(part, lines),
+            Err(_) if purpose == CallPurpose::Hedge => {}
+            Err(AcquireError::NoServer) => {
+                self.progress[part].last = "no-server";
+                if let Some(until) = view.settles_at.filter(|until| now < *until) {
+                    self.wait_for_room(part, lines, until);
+                }
+            }
+            Err(AcquireError::Busy) => self.wait_for_room(part, lines, self.deadline),
         }
     }
 
@@ -285,15 +297,20 @@
         allowed
     }
 
-    fn wait_for_room(&mut self, part: usize, lines: &Arc<ServiceLines>) {
+    /// Tries again when a server may have become free or known, or at `until`.
+    fn wait_for_room(&mut self, part: usize, lines: &Arc<ServiceLines>, until: Instant) {
         self.progress[part].is_waiting = true;
         let lines = Arc::clone(lines);
         let sender = self.sender.clone();
         let done = self.done.clone();
         let priority = self.request.route.priority;
+        let clock = self.parts.tools.clock.clone();
         self.parts.tools.spawner.spawn(async move {
             let room = async {
-                lines.wait_for_room(priority).await;
+                lines
+                    .wait_for_room(priority)
+                    .or(clock.sleep_until(until))
+                    .await;
                 // The request may have ended.
                 let _ = sender.try_send(FanEvent::Room { part });
             };
--- a/crates/front/src/server_call.rs
+++ b/crates/front/src/server_call.rs
@@ -25,8 +25,9 @@
 const LEFT_GRACE: Duration = Duration::from_millis(200);
 /// A connection that was idle for longer is not used for what must not run
 /// twice: if the server has just closed it, nobody can tell whether it ran.
-const ONCE_MOST_IDLE: Duration = Duration::from_millis(500);
-const MOST_IDLE: Duration = Duration::from_secs(60);
+pub const ONCE_MOST_IDLE: Duration = Duration::from_millis(500);
+/// A connection that was idle for longer is not used.
+pub const MOST_IDLE: Duration = Duration::from_secs(60);
 
 /// What a call asks.
 #[derive(Debug)]
@@ -131,20 +132,23 @@
     pub async fn call(
         &self,
         order: &CallOrder,
-        permit: LinePermit,
+        mut permit: LinePermit,
         left: &CancellationToken,
     ) -> CallEnd {
         if left.is_cancelled() {
             return CallEnd::Unsent(UnsentCause::CallerLeft);
         }
-        let sender = match self.connect(order, &permit).await {
-            Ok(sender) => sender,
-            Err(cause) => {
-                permit.end(ReplicaOutcome::Unreachable);
-                return CallEnd::Unsent(cause);
-            }
+        let (mut end, mut outcome) = match permit.take_connection() {
+            Some(pooled) => self.exchange(order, &permit, pooled, left).await,
+            None => (
+                CallEnd::Unsent(UnsentCause::Closed),
+                ReplicaOutcome::Abandoned,
+            ),
         };
-        let (end, outcome) = self.exchange(order, &permit, sender, left).await;
+        // A pooled connection may have closed while it was idle.
+        if let CallEnd::Unsent(UnsentCause::Closed) = end {
+            (end, outcome) = self.connect_and_exchange(order, &mut permit, left).await;
+        }
         if let CallEnd::NotRun(NotRunCause::Misdirected) = end {
             permit.line().set_misdirected();
         }
@@ -152,25 +156,22 @@
         end
     }
 
-    async fn connect(
+    async fn connect_and_exchange(
         &self,
         order: &CallOrder,
-        permit: &LinePermit,
-    ) -> Result<RequestSender, UnsentCause> {
-        let most_idle = if order.idempotent {
-            MOST_IDLE
-        } else {
-            ONCE_MOST_IDLE
-        };
-        if let Some(sender) = permit.line().take_idle(most_idle) {
-            return Ok(sender);
-        }
+        permit: &mut LinePermit,
+        left: &CancellationToken,
+    ) -> (CallEnd, ReplicaOutcome) {
+        permit.begin_connecting();
         let connecting = connect(permit.line().record().address, &self.spawner);
-        match self.clock.timeout(CONNECT_TIMEOUT, connecting).await {
-            Some(Ok(sender)) => Ok(sender),
-            Some(Err(ConnectError::Refused(_))) => Err(UnsentCause::Refused),
-            Some(Err(ConnectError::Other(..))) | None => Err(UnsentCause::NotConnected),
-        }
+        let connected = self.clock.timeout(CONNECT_TIMEOUT, connecting).await;
+        permit.end_connecting();
+        let cause = match connected {
+            Some(Ok(sender)) => return self.exchange(order, permit, sender, left).await,
+            Some(Err(ConnectError::Refused(_))) => UnsentCause::Refused,
+            Some(Err(ConnectError::Other(..))) | None => UnsentCause::NotConnected,
+        };
+        (CallEnd::Unsent(cause), ReplicaOutcome::Unreachable)
     }
 
     async fn exchange(
@@ -276,6 +277,7 @@
 fn failed_outcome(end: &CallEnd) -> ReplicaOutcome {
     match end {
         CallEnd::Lost(LostCause::Timeout) => ReplicaOutcome::TimedOut,
+        CallEnd::Lost(LostCause::Broken) => ReplicaOutcome::Reset,
         CallEnd::Lost(LostCause::CallerLeft) | CallEnd::Unsent(_) => ReplicaOutcome::Abandoned,
         CallEnd::Lost(_) | CallEnd::NotRun(_) | CallEnd::Answered(_) => ReplicaOutcome::Failed,
     }
--- a/crates/front/src/server_line.rs
+++ b/crates/front/src/server_line.rs
@@ -14,8 +14,11 @@
 
 /// A server's connections are shared by all daemons; each takes this part, since
 /// most calls come from the few daemons of the server's own failure domain.
-const CONNECTION_PART: usize = 6;
+const CONNECTION_PART: usize = 9;
 const LEAST_CONNECTIONS: usize = 2;
+/// Connections to one server that are being made at once: each may hold one of
+/// the server's slots for a while.
+const MOST_CONNECTING: usize = 1;
 /// An idle connection is not used this shortly before the server closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
 /// Costs that differ by less than this part count as equal, so that load spreads.
@@ -60,6 +63,8 @@
     stats: ReplicaStats,
     #[debug("{}", idle.len())]
     idle: Vec<IdleConnection>,
+    /// Connections being made.
+    connecting: usize,
     /// Another server answered at the address.
     is_misdirected: bool,
 }
@@ -71,6 +76,22 @@
     until: Option<Instant>,
 }
 
+impl LineState {
+    /// An idle connection that has been idle for `most_idle` at most.
+    fn take_idle(&mut self, most_idle: Duration, now: Instant) -> Option<RequestSender> {
+        while let Some(connection) = self.idle.pop() {
+            let is_ending = connection
+                .until
+                .is_some_and(|until| now + IDLE_MARGIN >= until);
+            let is_old = now.saturating_duration_since(connection.since) > most_idle;
+            if !is_ending && !is_old && connection.sender.is_ready() {
+                return Some(connection.sender);
+            }
+        }
+        None
+    }
+}
+
 impl ServerLine {
     /// A line without connections.
     pub fn new(record: &ServerRecord, settings: &LineSettings) -> Self {
@@ -83,6 +104,7 @@
             state: Mutex::new(LineState {
                 stats: ReplicaStats::new(distance, record.slots, record.warmup_left, now),
                 idle: Vec::new(),
+                connecting: 0,
                 is_misdirected: false,
             }),
         }
@@ -122,22 +144,6 @@
         self.lock().stats.stalled(now);
     }
 
-    /// An idle connection that has been idle for `most_idle` at most.
-    pub fn take_idle(&self, most_idle: Duration) -> Option<RequestSender> {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        while let Some(connection) = state.idle.pop() {
-            let is_ending = connection
-                .until
-                .is_some_and(|until| now + IDLE_MARGIN >= until);
-            let is_old = now.saturating_duration_since(connection.since) > most_idle;
-            if !is_ending && !is_old && connection.sender.is_ready() {
-                return Some(connection.sender);
-            }
-        }
-        None
-    }
-
     /// Keeps a connection for the next call.
     pub fn put_idle(&self, sender: RequestSender, idle_limit: Option<Duration>) {
         if sender.is_closed() {
@@ -162,9 +168,11 @@
     fn offer(&self, now: Instant) -> LineOffer {
         let state = self.lock();
         let most = self.most_connections.load(Ordering::Relaxed);
+        let has_room = state.stats.has_room() && (state.stats.outstanding() as usize) < most;
+        let has_connection = !state.idle.is_empty() || state.connecting < MOST_CONNECTING;
         LineOffer {
             is_usable: !state.is_misdirected,
-            is_free: (state.stats.outstanding() as usize) < most,
+            is_free: has_room && has_connection,
             is_sound: state.stats.is_sound(now),
             cost: state.stats.cost(now) * (1.0 + COST_SPREAD * fastrand::f64()),
         }
@@ -209,6 +217,10 @@
     shared: Arc<ServiceShared>,
     started: Instant,
     outcome: ReplicaOutcome,
+    #[debug(skip)]
+    connection: Option<RequestSender>,
+    /// Whether this call counts as making a connection.
+    is_connecting: bool,
 }
 
 /// Why no server can be asked now.
@@ -255,23 +267,39 @@
         lock(&self.shared.budget)
     }
 
-    /// Takes a place at the best server that is not in `tried`.
+    /// Takes a place at the best server that is not in `tried`, with a connection
+    /// if one has been idle for `most_idle` at most.
     ///
     /// # Errors
     /// Returns whether a server may become free later.
-    pub fn acquire(&self, tried: &[ServerName], now: Instant) -> Result<LinePermit, AcquireError> {
+    pub fn acquire(
+        &self,
+        tried: &[ServerName],
+        most_idle: Duration,
+        now: Instant,
+    ) -> Result<LinePermit, AcquireError> {
         let chosen = match best_line(&self.ready, tried, now) {
             Err(AcquireError::NoServer) => best_line(&self.missing, tried, now),
             other => other,
         };
         let line = Arc::clone(chosen?);
-        line.lock().stats.started(now);
-        Ok(LinePermit {
+        let mut permit = LinePermit {
             line,
             shared: Arc::clone(&self.shared),
             started: now,
             outcome: ReplicaOutcome::Abandoned,
-        })
+            connection: None,
+            is_connecting: false,
+        };
+        let mut state = permit.line.lock();
+        state.stats.started(now);
+        let connection = state.take_idle(most_idle, now);
+        drop(state);
+        permit.connection = connection;
+        if permit.connection.is_none() {
+            permit.begin_connecting();
+        }
+        Ok(permit)
     }
 
     /// Waits until some server may have become free; the most urgent first.
@@ -359,6 +387,26 @@
         self.started
     }
 
+    /// The idle connection that came with the place.
+    pub fn take_connection(&mut self) -> Option<RequestSender> {
+        self.connection.take()
+    }
+
+    /// A connection is being made for this call.
+    pub fn begin_connecting(&mut self) {
+        if !std::mem::replace(&mut self.is_connecting, true) {
+            self.line.lock().connecting += 1;
+        }
+    }
+
+    /// The connection is made, or can't be.
+    pub fn end_connecting(&mut self) {
+        if std::mem::take(&mut self.is_connecting) {
+            self.line.lock().connecting -= 1;
+            self.shared.wake_one();
+        }
+    }
+
     /// Notes how the call ended.
     pub fn end(mut self, outcome: ReplicaOutcome) {
         self.outcome = outcome;
@@ -367,6 +415,10 @@
 
 impl Drop for LinePermit {
     fn drop(&mut self) {
+        self.end_connecting();
+        if let Some(unused) = self.connection.take() {
+            self.line.put_idle(unused, None);
+        }
         let now = self.line.clock.now();
         let took = now.saturating_duration_since(self.started);
         self.line.lock().stats.ended(self.outcome, took, now);
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -6,6 +6,7 @@
 use camphorway_model::{RouteTable, ServiceName};
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// The place where the view is published.
 #[derive(Debug, Default)]
@@ -22,6 +23,9 @@
     pub services: Arc<HashMap<ServiceName, Arc<ServiceLines>>>,
     /// Whether the servers were listed since the start.
     pub knows_servers: bool,
+    /// Until when servers that are not known may still come back after trouble
+    /// with the store.
+    pub settles_at: Option<Instant>,
 }
 
 impl SharedFront {
--- a/crates/policy/src/directory.rs
+++ b/crates/policy/src/directory.rs
@@ -22,6 +22,7 @@
 pub struct ServerDirectory {
     entries: HashMap<ServerName, DirectoryEntry>,
     trouble: StoreTrouble,
+    is_listed: bool,
     removals: Vec<Instant>,
 }
 
@@ -52,6 +53,11 @@
         self.entries.values()
     }
 
+    /// Whether the servers were listed since the start.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
     /// The number of servers.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -74,8 +80,20 @@
         }
     }
 
+    /// Until when servers that are not listed may still come back.
+    pub fn settles_at(&self) -> Option<Instant> {
+        match self.trouble {
+            StoreTrouble::Over(at) => Some(at + LAPSE_GRACE),
+            StoreTrouble::None | StoreTrouble::Lasting => None,
+        }
+    }
+
     /// Takes the whole list; what is not in it is missing.
     pub fn take_list(&mut self, records: Vec<ServerRecord>, now: Instant) {
+        if !std::mem::replace(&mut self.is_listed, true) {
+            // What was before the start is not known: it may have been an outage.
+            self.trouble = StoreTrouble::Over(now);
+        }
         let listed: HashSet<ServerName> =
             records.iter().map(|record| record.name.clone()).collect();
         for record in records {
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -3,7 +3,9 @@
 //!
 //! All knowledge comes from calls. A call that is late marks the server as
 //! stalled, so that other requests go elsewhere at once; a server that can't be
-//! reached is closed for a time that doubles.
+//! reached is closed for a time that doubles. The number of calls at once rises
+//! by addition with answers and falls by a factor with signs of overload, as a
+//! congestion window does.
 
 use std::time::{Duration, Instant};
 
@@ -27,6 +29,10 @@
 /// A server that just started counts as slower by this factor.
 const COLD_FACTOR: f64 = 1.6;
 
+/// The limit on calls at once falls by this factor when the server has too many.
+const LIMIT_DECREASE: f64 = 0.6;
+const HIGHEST_LIMIT: f64 = 64.0;
+
 /// How far a backend server is.
 #[derive(Clone, Copy, Debug, derive_more::Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum ServerDistance {
@@ -67,8 +73,10 @@
     Answered,
     /// The server said that it did not run the call.
     Rejected,
-    /// It ran and failed, or the answer was lost or wrong.
+    /// It ran and failed, or the answer was wrong.
     Failed,
+    /// The connection broke; a server that has too many of them resets new ones.
+    Reset,
     /// No answer within the time.
     TimedOut,
     /// No connection could be made.
@@ -83,6 +91,8 @@
     distance: ServerDistance,
     slots: u32,
     outstanding: u32,
+    /// The most calls at once: raised by answers, lowered by signs of overload.
+    limit: f64,
     mean_ms: Option<f64>,
     failure: f64,
     failure_at: Instant,
@@ -101,6 +111,7 @@
             distance,
             slots: slots.max(1),
             outstanding: 0,
+            limit: f64::from(slots.max(1)),
             mean_ms: None,
             failure: 0.0,
             failure_at: now,
@@ -117,6 +128,11 @@
         self.outstanding
     }
 
+    /// Whether one more call may be sent.
+    pub fn has_room(&self) -> bool {
+        f64::from(self.outstanding) < self.limit.floor()
+    }
+
     /// How far the server is.
     pub fn distance(&self) -> ServerDistance {
         self.distance
@@ -180,14 +196,21 @@
                 let sample = took.as_secs_f64() * 1_000.0;
                 let mean = self.mean_ms.unwrap_or(sample);
                 self.mean_ms = Some(mean + SMOOTHING * (sample - mean));
+                self.limit = (self.limit + 1.0 / self.limit).min(HIGHEST_LIMIT);
                 self.note_failure(0.0, now);
             }
             ReplicaOutcome::Rejected => {
                 self.stalled_until = None;
+                self.lower_limit();
+                self.note_failure(1.0, now);
+            }
+            ReplicaOutcome::Reset => {
+                self.lower_limit();
                 self.note_failure(1.0, now);
             }
             ReplicaOutcome::Failed => self.note_failure(1.0, now),
             ReplicaOutcome::TimedOut | ReplicaOutcome::Unreachable => {
+                self.lower_limit();
                 self.note_failure(1.0, now);
                 self.close(now);
             }
@@ -195,6 +218,10 @@
         }
     }
 
+    fn lower_limit(&mut self) {
+        self.limit = (self.limit * LIMIT_DECREASE).max(1.0);
+    }
+
     fn close(&mut self, now: Instant) {
         // Calls that were sent before the server was closed say nothing new.
         if self.is_closed(now) && !std::mem::take(&mut self.is_probing) {
--- a/crates/policy/tests/all/replica.rs
+++ b/crates/policy/tests/all/replica.rs
@@ -96,3 +96,31 @@
     assert!((near.cost(now) - before).abs() < 1e-9);
     assert_eq!(near.outstanding(), 0);
 }
+
+#[test]
+fn the_limit_falls_with_overload_and_rises_with_answers() {
+    let now = Instant::now();
+    let mut near = stats(ServerDistance::Near, now);
+    let room = |near: &mut ReplicaStats| {
+        let mut calls = 0;
+        while near.has_room() {
+            near.started(now);
+            calls += 1;
+        }
+        for _ in 0..calls {
+            near.ended(ReplicaOutcome::Abandoned, TOOK, now);
+        }
+        calls
+    };
+    assert_eq!(room(&mut near), 2, "it starts with the server's slots");
+    for _ in 0..20 {
+        answered(&mut near, TOOK, now);
+    }
+    let risen = room(&mut near);
+    assert!(risen > 4, "{risen}");
+    for _ in 0..8 {
+        near.started(now);
+        near.ended(ReplicaOutcome::Reset, TOOK, now);
+    }
+    assert_eq!(room(&mut near), 1, "one call may always try");
+}
