One front a domain asks the store, the others ask that one

Ruled out: longer watches alone (a silent connection must be noticed within the bounds, and each change wakes every watcher). Change: fronts register in a kind of their own with a key made at the start, pinned by their peers; one front a domain by rendezvous asks the store, others ask it, the next, the store, one of another domain; answers carry the age of what they tell. Changes close together are read in one call. The allowance of extra calls is shared by the members known.

--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -6,5 +6,6 @@
 pub mod frame;
 pub mod link;
 pub mod message;
+pub mod pinned;
 pub mod serve;
 pub mod tls;
--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -14,6 +14,8 @@
     AsyncTimer, AsyncUdpSocket, ClientConfig, Connection, Endpoint, EndpointConfig, RecvStream,
     Runtime, SendStream,
 };
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::collections::HashMap;
 use std::net::{SocketAddr, UdpSocket};
 use std::pin::Pin;
@@ -205,11 +207,14 @@
     ///
     /// # Errors
     /// Returns the step that failed; after [`PeerStep::Connect`] nothing was sent.
-    pub async fn request(
+    pub async fn request<Message>(
         &self,
         peer: SocketAddr,
-        request: &PeerRequest,
-    ) -> Result<(SendStream, RecvStream), PeerError> {
+        request: &Message,
+    ) -> Result<(SendStream, RecvStream), PeerError>
+    where
+        Message: Serialize,
+    {
         let connection = self.connection(peer).await?;
         let failed = |step, cause: String| PeerError { step, peer, cause };
         let (mut sender, receiver) = connection
@@ -248,27 +253,40 @@
         peer: SocketAddr,
         request: PullRequest,
     ) -> Result<PullReply, PeerError> {
+        self.ask(peer, &PeerRequest::Pull(request), MOST_PULL).await
+    }
+
+    /// Sends one message and reads one reply, within `limit`.
+    ///
+    /// # Errors
+    /// Returns the step that failed.
+    pub async fn ask<Message, Reply>(
+        &self,
+        peer: SocketAddr,
+        message: &Message,
+        limit: Duration,
+    ) -> Result<Reply, PeerError>
+    where
+        Message: Serialize,
+        Reply: DeserializeOwned,
+    {
+        let failed = |cause: String| PeerError {
+            step: PeerStep::Receive,
+            peer,
+            cause,
+        };
         let exchange = async {
-            let (mut sender, mut receiver) =
-                self.request(peer, &PeerRequest::Pull(request)).await?;
+            let (mut sender, mut receiver) = self.request(peer, message).await?;
+            // The peer may have closed the stream already; reading tells.
             let _ = sender.finish();
             frame::read(&mut receiver)
                 .await
-                .map_err(|cause: FrameError| PeerError {
-                    step: PeerStep::Receive,
-                    peer,
-                    cause: cause.to_string(),
-                })
-        };
-        let late = || PeerError {
-            step: PeerStep::Receive,
-            peer,
-            cause: "timeout".to_owned(),
+                .map_err(|cause: FrameError| failed(cause.to_string()))
         };
         self.clock
-            .timeout(MOST_PULL, exchange)
+            .timeout(limit, exchange)
             .await
-            .unwrap_or_else(|| Err(late()))
+            .unwrap_or_else(|| Err(failed("timeout".to_owned())))
     }
 
     /// Sends a gossip message; it may get lost.
--- a/crates/daemon/src/peer/tls.rs
+++ b/crates/daemon/src/peer/tls.rs
@@ -71,19 +71,30 @@
             WebPkiClientVerifier::builder_with_provider(Arc::clone(&roots), Arc::clone(&provider))
                 .build()
                 .map_err(refused)?;
-        let mut server = rustls::ServerConfig::builder_with_provider(Arc::clone(&provider))
+        let server = rustls::ServerConfig::builder_with_provider(Arc::clone(&provider))
             .with_protocol_versions(&[&rustls::version::TLS13])
             .map_err(refused)?
             .with_client_cert_verifier(verifier)
             .with_single_cert(chain.clone(), key()?)
             .map_err(refused)?;
-        server.alpn_protocols = vec![PROTOCOL.to_vec()];
-        let mut client = rustls::ClientConfig::builder_with_provider(provider)
+        let client = rustls::ClientConfig::builder_with_provider(provider)
             .with_protocol_versions(&[&rustls::version::TLS13])
             .map_err(refused)?
             .with_root_certificates(roots)
             .with_client_auth_cert(chain, key()?)
             .map_err(refused)?;
+        Self::new(server, client)
+    }
+
+    /// Both sides over QUIC.
+    ///
+    /// # Errors
+    /// Returns why a side can't be used with QUIC.
+    pub fn new(
+        mut server: rustls::ServerConfig,
+        mut client: rustls::ClientConfig,
+    ) -> Result<Self, TlsError> {
+        server.alpn_protocols = vec![PROTOCOL.to_vec()];
         client.alpn_protocols = vec![PROTOCOL.to_vec()];
         let server = QuicServerConfig::try_from(server).map_err(refused)?;
         let client = QuicClientConfig::try_from(client).map_err(refused)?;
@@ -114,7 +125,7 @@
         .map_err(file)
 }
 
-fn refused<Cause>(cause: Cause) -> TlsError
+pub(super) fn refused<Cause>(cause: Cause) -> TlsError
 where
     Cause: std::fmt::Display,
 {
--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -9,13 +9,21 @@
 use async_channel::Receiver;
 use camphorway_daemon::clock::DaemonClock;
 use camphorway_daemon::event;
-use camphorway_model::{RegisteredState, RouteTable, ServerName, ServerRecord, ServiceName};
+use camphorway_daemon::peer::pinned::PinnedKeys;
+use camphorway_daemon::sync::lock;
+use camphorway_model::{
+    FrontRecord, RegisteredState, RouteTable, ServerName, ServerRecord, ServiceName, VmName,
+};
 use camphorway_policy::{DirectoryEntry, ServerDirectory};
 use futures_lite::FutureExt;
-use std::collections::HashMap;
-use std::sync::Arc;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex};
 use tokio_util::sync::CancellationToken;
 
+/// The part of the shared extra calls that is used, as some fronts may not be
+/// known yet.
+const SHARED_PART: f64 = 0.7;
+
 /// What the control thread is built from.
 #[derive(Debug)]
 pub struct ControlParts {
@@ -23,6 +31,12 @@
     pub view: Arc<SharedFront>,
     /// What servers' lines are built from.
     pub lines: LineSettings,
+    /// The fronts known, for the followers of feeds.
+    pub members: Arc<Mutex<Vec<FrontRecord>>>,
+    /// The keys of these fronts.
+    pub pinned: Arc<PinnedKeys>,
+    /// Extra calls in each window that all fronts share beside the ratio.
+    pub shared_allowance: f64,
     /// The daemon's clock.
     pub clock: DaemonClock,
     /// The daemon's metrics.
@@ -40,6 +54,7 @@
     routes: Option<Arc<RouteTable>>,
     directory: ServerDirectory,
     services: HashMap<ServiceName, Arc<ServiceLines>>,
+    fronts: BTreeMap<VmName, FrontRecord>,
 }
 
 impl FrontControl {
@@ -50,6 +65,7 @@
             routes: None,
             directory: ServerDirectory::default(),
             services: HashMap::new(),
+            fronts: BTreeMap::new(),
         }
     }
 
@@ -81,6 +97,13 @@
         let now = self.parts.clock.now();
         match news {
             FeedNews::Listed(SourceFeed::Servers, items) => self.take_list(items),
+            FeedNews::Listed(SourceFeed::Fronts, items) => {
+                self.fronts.clear();
+                for item in items.items {
+                    self.take_item(item);
+                }
+                event!(Info, "fronts-listed", fronts = self.fronts.len());
+            }
             FeedNews::Listed(SourceFeed::Configuration, items) | FeedNews::Changed(items) => {
                 for item in items.items {
                     self.take_item(item);
@@ -135,6 +158,13 @@
                 event!(Info, "server-registration-gone", server = name);
                 self.directory.remove(&name, self.parts.clock.now());
             }
+            SourceItem::Front(record) => {
+                self.fronts.insert(record.vm.clone(), record);
+            }
+            SourceItem::FrontGone(vm) => {
+                event!(Info, "front-gone", vm = vm);
+                self.fronts.remove(&vm);
+            }
             SourceItem::Unreadable { feed, name, cause } => {
                 event!(
                     Warn,
@@ -181,7 +211,25 @@
         self.publish();
     }
 
+    /// Lets followers and the peers' port know the fronts.
+    fn publish_fronts(&self) {
+        let keys = self.fronts.values().map(|front| front.key.clone());
+        self.parts.pinned.replace(keys.collect());
+        *lock(&self.parts.members) = self.fronts.values().cloned().collect();
+    }
+
+    /// This front's part of the extra calls that all share; before the others
+    /// are known, the one of the settings.
+    fn allowance(&self) -> f64 {
+        let own = self.parts.lines.budget.allowance;
+        match self.fronts.len() {
+            0 => own,
+            count => (self.parts.shared_allowance * SHARED_PART / count as f64).max(own),
+        }
+    }
+
     fn publish(&mut self) {
+        self.publish_fronts();
         let mut by_service: HashMap<ServiceName, Vec<DirectoryEntry>> = HashMap::new();
         for entry in self.directory.entries() {
             let service = entry.record.service.clone();
@@ -245,6 +293,7 @@
         }
         let lines =
             ServiceLines::rebuilt(before.map(AsRef::as_ref), ready, missing, &self.parts.lines);
+        lines.budget().set_allowance(self.allowance());
         Arc::new(lines)
     }
 }
--- a/crates/front/src/feed.rs
+++ b/crates/front/src/feed.rs
@@ -1,15 +1,26 @@
-//! Follows one feed of the source: the list, then changes, again and again.
+//! Follows one feed: the list, then changes, again and again, from the origin
+//! that is best at the time.
 
+use crate::knowledge::{FeedAsk, FeedKnowledge, FeedReply};
 use crate::ports::{SourceError, SourceFeed, SourceItems, TierSource};
 use async_channel::Sender;
 use camphorway_daemon::clock::DaemonClock;
 use camphorway_daemon::event;
-use std::sync::Arc;
-use std::time::Duration;
+use camphorway_daemon::peer::link::PeerLinks;
+use camphorway_daemon::sync::lock;
+use camphorway_model::{FrontRecord, VmName};
+use camphorway_policy::{FeedOrder, FeedOrigin};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
 
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
-const LONGEST_BACKOFF: Duration = Duration::from_millis(800);
+const LONGEST_BACKOFF: Duration = Duration::from_millis(1_000);
+/// Changes that follow each other within this time are read together.
+const CHANGE_PAUSE: Duration = Duration::from_millis(150);
+/// A peer that doesn't answer within this time beside the wait is passed over.
+const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// What is learned from a feed.
 #[derive(Debug)]
@@ -18,47 +29,94 @@
     Listed(SourceFeed, SourceItems),
     /// Items that changed.
     Changed(SourceItems),
-    /// The source did not answer.
+    /// No origin answers.
     Lost(SourceFeed),
-    /// The source answers again.
+    /// Some origin answers again.
     Regained(SourceFeed),
 }
 
-/// Follows one feed.
+/// How fresh a feed has to be.
+#[derive(Clone, Copy, Debug)]
+pub struct FeedTimes {
+    /// How long the store may wait for a change.
+    pub store_wait: Duration,
+    /// How long a peer may wait for a change.
+    pub peer_wait: Duration,
+    /// What a peer knows is too old after this time.
+    pub most_age: Duration,
+}
+
+impl FeedTimes {
+    /// Times by which a change is known within `bound`.
+    pub fn within(bound: Duration) -> Self {
+        Self {
+            store_wait: bound / 3,
+            peer_wait: bound / 6,
+            most_age: bound.mul_f64(0.7),
+        }
+    }
+}
+
+/// What followers share.
 #[derive(Debug)]
-pub struct FeedFollower<Source> {
-    /// Where items come from.
+pub struct FeedParts<Source> {
+    /// The store.
     pub source: Arc<Source>,
-    /// The feed.
-    pub feed: SourceFeed,
-    /// How long one watch waits.
-    pub wait: Duration,
+    /// Connections to peers.
+    pub links: Arc<PeerLinks>,
+    /// The fronts known.
+    pub members: Arc<Mutex<Vec<FrontRecord>>>,
+    /// What is known, for peers.
+    pub knowledge: Arc<FeedKnowledge>,
     /// Takes what is learned.
     pub news: Sender<FeedNews>,
     /// The daemon's clock.
     pub clock: DaemonClock,
-    /// Ends it.
+    /// Ends the followers.
     pub stop: CancellationToken,
 }
 
+/// Follows one feed.
+#[derive(Debug)]
+pub struct FeedFollower<Source> {
+    /// What followers share.
+    pub parts: Arc<FeedParts<Source>>,
+    /// The feed.
+    pub feed: SourceFeed,
+    /// How fresh it has to be.
+    pub times: FeedTimes,
+    /// Orders the origins.
+    pub order: FeedOrder,
+}
+
+/// Items, and when the store confirmed them.
+struct FreshItems {
+    items: SourceItems,
+    confirmed: Instant,
+}
+
 impl<Source> FeedFollower<Source>
 where
     Source: TierSource,
 {
     /// Runs until stopped.
-    pub async fn run(self) {
+    pub async fn run(mut self) {
         let mut backoff = FIRST_BACKOFF;
         let mut revision = None;
         let mut is_lost = false;
-        while !self.stop.is_cancelled() {
+        while !self.parts.stop.is_cancelled() {
             match self.step(revision).await {
-                Ok(news) => {
+                Ok(fresh) => {
                     backoff = FIRST_BACKOFF;
                     if std::mem::take(&mut is_lost) {
                         event!(Info, "store-regained", feed = self.feed);
                         self.tell(FeedNews::Regained(self.feed)).await;
                     }
-                    revision = Some(self.take(news, revision).await);
+                    let is_change = revision.is_some() && !fresh.items.items.is_empty();
+                    revision = Some(self.take(fresh, revision).await);
+                    if is_change {
+                        self.parts.clock.sleep(CHANGE_PAUSE).await;
+                    }
                 }
                 Err(SourceError::HistoryGone) => {
                     event!(Info, "store-history-gone", feed = self.feed);
@@ -70,35 +128,118 @@
                     }
                     is_lost = true;
                     self.tell(FeedNews::Lost(self.feed)).await;
-                    // All daemons lose the store at once; jitter spreads their return.
-                    self.clock
-                        .sleep(backoff.mul_f64(0.5 + fastrand::f64()))
-                        .await;
+                    // All fronts lose the store at once; jitter spreads their return.
+                    let pause = backoff.mul_f64(0.5 + fastrand::f64());
+                    self.parts.clock.sleep(pause).await;
                     backoff = (backoff * 2).min(LONGEST_BACKOFF);
                 }
             }
         }
     }
 
-    async fn step(&self, revision: Option<u64>) -> Result<SourceItems, SourceError> {
-        match revision {
-            None => self.source.list(self.feed).await,
-            Some(revision) => self.source.watch(self.feed, revision, self.wait).await,
+    /// Asks the origins in turn; the last error if none has an answer.
+    async fn step(&mut self, revision: Option<u64>) -> Result<FreshItems, SourceError> {
+        let members = lock(&self.parts.members).clone();
+        let mut last = None;
+        for origin in self.order.origins(&members, self.parts.clock.now()) {
+            let result = match &origin {
+                FeedOrigin::Store => self.ask_store(revision).await,
+                FeedOrigin::Peer(_, address) => self.ask_peer(*address, revision).await,
+            };
+            match (result, origin) {
+                (Err(SourceError::Failed { cause, step, feed }), FeedOrigin::Peer(vm, _)) => {
+                    self.note_failed(&vm, &cause);
+                    // What the store said tells more than what a peer did.
+                    last.get_or_insert(SourceError::Failed { step, feed, cause });
+                }
+                (Err(error @ SourceError::Failed { .. }), FeedOrigin::Store) => last = Some(error),
+                (result, _) => return result,
+            }
+        }
+        Err(last.unwrap_or(SourceError::HistoryGone))
+    }
+
+    async fn ask_store(&self, revision: Option<u64>) -> Result<FreshItems, SourceError> {
+        let source = &self.parts.source;
+        let items = match revision {
+            None => source.list(self.feed).await?,
+            Some(revision) => {
+                source
+                    .watch(self.feed, revision, self.times.store_wait)
+                    .await?
+            }
+        };
+        let confirmed = self.parts.clock.now();
+        Ok(FreshItems { items, confirmed })
+    }
+
+    async fn ask_peer(
+        &self,
+        peer: SocketAddr,
+        revision: Option<u64>,
+    ) -> Result<FreshItems, SourceError> {
+        let failed = |cause: String| SourceError::Failed {
+            step: "ask-peer",
+            feed: self.feed,
+            cause,
+        };
+        let ask = FeedAsk {
+            feed: self.feed,
+            after: revision,
+            wait_ms: self.times.peer_wait.as_millis() as u64,
+        };
+        let limit = self.times.peer_wait + PEER_TIMEOUT;
+        let reply = self.parts.links.ask(peer, &ask, limit).await;
+        let reply = reply.map_err(|error| {
+            // Its process may be another by now.
+            self.parts.links.forget(peer);
+            failed(error.to_string())
+        })?;
+        match reply {
+            FeedReply::HistoryGone => Err(SourceError::HistoryGone),
+            FeedReply::NotKnown => Err(failed("it knows nothing yet".to_owned())),
+            FeedReply::Items { items, age_ms } => {
+                let age = Duration::from_millis(age_ms);
+                if age > self.times.most_age {
+                    return Err(failed(format!("what it knows is {age_ms} ms old")));
+                }
+                let now = self.parts.clock.now();
+                let confirmed = now.checked_sub(age).unwrap_or(now);
+                Ok(FreshItems { items, confirmed })
+            }
         }
     }
 
-    async fn take(&self, items: SourceItems, before: Option<u64>) -> u64 {
-        let revision = items.revision;
+    fn note_failed(&mut self, peer: &VmName, cause: &str) {
+        event!(
+            Info,
+            "peer-passed-over",
+            peer = peer,
+            feed = self.feed,
+            cause = cause
+        );
+        self.order.note_failed(peer, self.parts.clock.now());
+    }
+
+    /// Takes items over; the revision from which the next step goes on.
+    async fn take(&self, fresh: FreshItems, before: Option<u64>) -> u64 {
+        let FreshItems { items, confirmed } = fresh;
+        let revision = items.revision.max(before.unwrap_or_default());
+        let knowledge = &self.parts.knowledge;
         if before.is_none() {
+            knowledge.take_all(self.feed, &items, confirmed);
             self.tell(FeedNews::Listed(self.feed, items)).await;
-        } else if !items.items.is_empty() {
-            self.tell(FeedNews::Changed(items)).await;
+        } else {
+            knowledge.take_changes(self.feed, &items, confirmed);
+            if !items.items.is_empty() {
+                self.tell(FeedNews::Changed(items)).await;
+            }
         }
         revision
     }
 
     async fn tell(&self, news: FeedNews) {
         // The channel closes only when the daemon ends.
-        let _ = self.news.send(news).await;
+        let _ = self.parts.news.send(news).await;
     }
 }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -3,14 +3,18 @@
 use crate::control::{ControlParts, FrontControl};
 use crate::door::FrontDoor;
 use crate::fan_out::{CallTimes, FanOutParts};
-use crate::feed::FeedFollower;
+use crate::feed::{FeedFollower, FeedParts, FeedTimes};
+use crate::knowledge::FeedKnowledge;
+use crate::membership;
 use crate::metrics::FrontMetrics;
+use crate::peer_port::PeerPort;
 use crate::ports::{SourceFeed, TierSource, WireDialect};
 use crate::readiness_port::ReadinessPort;
 use crate::server_call::CallTools;
 use crate::server_line::LineSettings;
 use crate::settings::FrontSettings;
 use crate::view::SharedFront;
+use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::block_on;
 use async_net::TcpListener;
@@ -19,9 +23,15 @@
 use camphorway_daemon::daemon::{StartError, listen};
 use camphorway_daemon::event;
 use camphorway_daemon::http_port::{HttpHandler, HttpPort};
+use camphorway_daemon::peer::link::PeerLinks;
+use camphorway_daemon::peer::pinned::{PinnedKeys, new_identity};
 use camphorway_daemon::settings::LimitSettings;
 use camphorway_daemon::task::TaskSpawner;
+use camphorway_model::FrontRecord;
+use camphorway_policy::FeedOrder;
 use futures_lite::{FutureExt, StreamExt};
+use quinn::Connection;
+use std::net::UdpSocket;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
@@ -38,6 +48,10 @@
 /// arrives on them until then is still answered.
 const CLOSE_TIME: Duration = Duration::from_millis(1_200);
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
+/// Longest time to take the own registration back.
+const DEREGISTER_TIME: Duration = Duration::from_millis(300);
+/// A front that comes or goes is known within this time.
+const FRONTS_BOUND: Duration = Duration::from_secs(15);
 /// Time for last answers to leave.
 const LAST_ANSWERS: Duration = Duration::from_millis(100);
 /// A caller's connection may be idle, or a head incomplete, for this long.
@@ -55,6 +69,10 @@
     is_stopping: Arc<AtomicBool>,
     stop_callers: CancellationToken,
     stop_all: CancellationToken,
+    own: FrontRecord,
+    pinned: Arc<PinnedKeys>,
+    links: Arc<PeerLinks>,
+    knowledge: Arc<FeedKnowledge>,
 }
 
 /// Runs a front until a signal ends it; `make_source` builds the adapter of the
@@ -79,6 +97,21 @@
         TaskSpawner::start(TRAFFIC_THREADS, &stop_all).map_err(StartError::Thread)?;
     let clock = DaemonClock::Real;
     let source = make_source(&settings, &clock, &spawner);
+    let pinned = Arc::new(PinnedKeys::default());
+    let (key, tls) = new_identity(&pinned).map_err(StartError::Tls)?;
+    let socket = UdpSocket::bind(settings.peers).map_err(|cause| StartError::Listen {
+        purpose: "peers",
+        address: settings.peers,
+        cause,
+    })?;
+    let (sink, adopted) = async_channel::unbounded();
+    let links = PeerLinks::open(socket, tls, &spawner, &clock, sink).map_err(StartError::Thread)?;
+    let own = FrontRecord {
+        vm: settings.vm.clone(),
+        domain: settings.domain.clone(),
+        address: settings.peers,
+        key,
+    };
     let core = FrontCore {
         settings,
         wire: Arc::new(wire),
@@ -90,7 +123,12 @@
         is_stopping: Arc::default(),
         stop_callers: stop_all.child_token(),
         stop_all,
+        own,
+        pinned,
+        links: Arc::new(links),
+        knowledge: Arc::default(),
     };
+    core.start_peers(adopted);
     core.start_callers(callers);
     core.start_readiness(readiness);
     let control = core.start_control()?;
@@ -160,28 +198,52 @@
         self.spawner.spawn(port.serve(Arc::new(handler)));
     }
 
+    fn start_peers(&self, adopted: Receiver<Connection>) {
+        let port = PeerPort {
+            knowledge: Arc::clone(&self.knowledge),
+            links: Arc::clone(&self.links),
+            clock: self.clock.clone(),
+            spawner: self.spawner.clone(),
+            stop: self.stop_all.clone(),
+        };
+        self.spawner.spawn(port.clone().accept());
+        self.spawner.spawn(port.attend_all(adopted));
+    }
+
     fn start_control(&self) -> Result<JoinHandle<()>, StartError> {
         let (news, inbox) = async_channel::unbounded();
-        let follower = |feed| FeedFollower {
+        let members = Arc::default();
+        let parts = Arc::new(FeedParts {
             source: Arc::clone(&self.source),
-            feed,
-            wait: self.settings.watch_wait,
-            news: news.clone(),
+            links: Arc::clone(&self.links),
+            members: Arc::clone(&members),
+            knowledge: Arc::clone(&self.knowledge),
+            news,
             clock: self.clock.clone(),
             stop: self.stop_all.clone(),
+        });
+        let follower = |feed, bound| FeedFollower {
+            parts: Arc::clone(&parts),
+            feed,
+            times: FeedTimes::within(bound),
+            order: FeedOrder::new(&self.settings.vm, &self.settings.domain),
         };
-        let followers = [
-            follower(SourceFeed::Configuration),
-            follower(SourceFeed::Servers),
-        ];
+        let settings = &self.settings;
+        let configuration = follower(SourceFeed::Configuration, settings.in_force);
+        let servers = follower(SourceFeed::Servers, settings.leave);
+        let fronts = follower(SourceFeed::Fronts, FRONTS_BOUND);
+        let own = self.own.clone();
         let control = FrontControl::new(ControlParts {
             view: Arc::clone(&self.view),
             lines: LineSettings {
-                domain: self.settings.domain.clone(),
-                regions: Arc::new(self.settings.regions.clone()),
-                budget: self.settings.budget,
+                domain: settings.domain.clone(),
+                regions: Arc::new(settings.regions.clone()),
+                budget: settings.budget,
                 clock: self.clock.clone(),
             },
+            members,
+            pinned: Arc::clone(&self.pinned),
+            shared_allowance: settings.shared_allowance,
             clock: self.clock.clone(),
             metrics: Arc::clone(&self.metrics),
             news: inbox,
@@ -191,9 +253,9 @@
             .name("control".to_owned())
             .spawn(move || {
                 let executor = LocalExecutor::new();
-                for follower in followers {
-                    executor.spawn(follower.run()).detach();
-                }
+                executor.spawn(configuration.run()).detach();
+                executor.spawn(servers.run()).detach();
+                executor.spawn(membership::run(parts, own, fronts)).detach();
                 block_on(executor.run(control.run()));
             })
             .map_err(StartError::Thread)
@@ -242,6 +304,9 @@
     async fn drain(&self) {
         event!(Info, "draining");
         self.is_stopping.store(true, Ordering::Relaxed);
+        let deregistered = membership::deregister(self.source.as_ref(), &self.own);
+        // A store that does not answer must not hold up the end.
+        self.clock.timeout(DEREGISTER_TIME, deregistered).await;
         let closing = self
             .settings
             .grace
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -3,11 +3,12 @@
 
 use crate::answer::RoutedAnswer;
 use bytes::Bytes;
-use camphorway_model::{RouteTable, ServerName, ServerRecord};
+use camphorway_model::{FrontRecord, RouteTable, ServerName, ServerRecord, VmName};
 use derive_more::Display;
 use http_body_util::Full;
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Method, Request, Response, Uri};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Names and formats of the HTTP messages of callers and backend servers.
@@ -107,7 +108,7 @@
 }
 
 /// A kind of object that the source holds.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
 pub enum SourceFeed {
     /// Routes, services and limits.
     #[display("configuration")]
@@ -115,10 +116,18 @@
     /// Registrations of backend servers.
     #[display("servers")]
     Servers,
+    /// Fronts.
+    #[display("fronts")]
+    Fronts,
+}
+
+impl SourceFeed {
+    /// All feeds.
+    pub const ALL: [Self; 3] = [Self::Configuration, Self::Servers, Self::Fronts];
 }
 
 /// One object of a feed.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum SourceItem {
     /// A configuration.
     Configuration(Box<RouteTable>),
@@ -126,6 +135,10 @@
     Server(ServerRecord),
     /// A registration is gone.
     ServerGone(ServerName),
+    /// A front.
+    Front(FrontRecord),
+    /// A front is gone.
+    FrontGone(VmName),
     /// An object that can't be read; the rest holds.
     Unreadable {
         /// Its feed.
@@ -137,8 +150,23 @@
     },
 }
 
+impl SourceItem {
+    /// The name that tells the feed's items apart.
+    pub fn name(&self) -> String {
+        match self {
+            // There is only one.
+            Self::Configuration(_) => String::new(),
+            Self::Server(record) => record.name.to_string(),
+            Self::ServerGone(name) => name.to_string(),
+            Self::Front(record) => record.vm.to_string(),
+            Self::FrontGone(vm) => vm.to_string(),
+            Self::Unreadable { name, .. } => name.clone(),
+        }
+    }
+}
+
 /// Items of a feed, and the revision from which later changes can be read.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct SourceItems {
     /// The items.
     pub items: Vec<SourceItem>,
@@ -166,7 +194,7 @@
 
 impl std::error::Error for SourceError {}
 
-/// A store that holds routes and registrations.
+/// A store that holds routes, registrations and fronts.
 pub trait TierSource: Send + Sync + 'static {
     /// All items of a feed.
     fn list(
@@ -181,4 +209,14 @@
         revision: u64,
         wait: Duration,
     ) -> impl Future<Output = Result<SourceItems, SourceError>> + Send;
+
+    /// Makes a front known; what stood under its name is replaced.
+    fn register(&self, front: &FrontRecord)
+    -> impl Future<Output = Result<(), SourceError>> + Send;
+
+    /// Takes a front's registration back.
+    fn deregister(
+        &self,
+        front: &FrontRecord,
+    ) -> impl Future<Output = Result<(), SourceError>> + Send;
 }
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -10,13 +10,15 @@
 use std::path::Path;
 use std::time::Duration;
 
-const FRONT_KEYS: &str = "vm, failure-domain, callers, readiness, log-level, answer-margin-ms";
-const STORE_KEYS: &str = "address, watch-ms";
+const FRONT_KEYS: &str =
+    "vm, failure-domain, callers, readiness, peers, log-level, answer-margin-ms";
+const STORE_KEYS: &str = "address";
+const BOUND_KEYS: &str = "in-force-ms, leave-ms";
 const STOP_KEYS: &str = "grace-ms";
-const BUDGET_KEYS: &str = "ratio, window-ms, allowance";
-const SECTIONS: &str = "front, store, stop, budget, regions";
+const BUDGET_KEYS: &str = "ratio, window-ms, allowance, shared-allowance";
+const SECTIONS: &str = "front, store, bounds, stop, budget, regions";
 
-const DEFAULT_WATCH: Duration = Duration::from_millis(2_000);
+const DEFAULT_BOUND: Duration = Duration::from_millis(3_000);
 const DEFAULT_MARGIN: Duration = Duration::from_millis(15);
 const DEFAULT_RATIO: f64 = 0.1;
 const DEFAULT_WINDOW: Duration = Duration::from_secs(10);
@@ -39,15 +41,20 @@
     pub log_level: LevelFilter,
     /// The store's address.
     pub store: SocketAddr,
-    /// How long one watch waits for a change; also the time in which a silent
-    /// connection to the store is noticed.
-    pub watch_wait: Duration,
+    /// Where other fronts are served, over UDP.
+    pub peers: SocketAddr,
+    /// A configuration is in force within this time.
+    pub in_force: Duration,
+    /// A server that leaves gets no new calls after this time.
+    pub leave: Duration,
     /// A query is answered this long before its objective, with what is there.
     pub answer_margin: Duration,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
     /// Limits of extra calls for each service.
     pub budget: BudgetLimits,
+    /// Extra calls in each window that all fronts share beside the ratio.
+    pub shared_allowance: f64,
 }
 
 impl FrontSettings {
@@ -73,6 +80,8 @@
         let mut store = None;
         let mut grace = Duration::from_secs(30);
         let mut budget = default_budget();
+        let mut shared_allowance = 0.0;
+        let (mut in_force, mut leave) = (DEFAULT_BOUND, DEFAULT_BOUND);
         let mut regions = HashMap::new();
         for mut section in ini::parse(file, text, &mut faults) {
             match section.title() {
@@ -82,7 +91,17 @@
                     grace = milliseconds(&mut section, "grace-ms", &mut faults).unwrap_or(grace);
                     section.finish(STOP_KEYS, &mut faults);
                 }
-                ("budget", "") => budget = read_budget(section, &mut faults),
+                ("bounds", "") => {
+                    let mut bound = |key| milliseconds(&mut section, key, &mut faults);
+                    in_force = bound("in-force-ms").unwrap_or(in_force);
+                    leave = bound("leave-ms").unwrap_or(leave);
+                    section.finish(BOUND_KEYS, &mut faults);
+                }
+                ("budget", "") => {
+                    let shared = section.number_within("shared-allowance", 0.0..=1e6, &mut faults);
+                    shared_allowance = shared.unwrap_or(shared_allowance);
+                    budget = read_budget(section, &mut faults);
+                }
                 ("regions", "") => {
                     let pairs = section.take_pairs().into_iter();
                     regions.extend(pairs.map(|(name, region)| (FailureDomain::new(&name), region)));
@@ -93,11 +112,13 @@
                 }
             }
         }
-        if let (Some(mut settings), Some((address, watch))) = (front, store)
+        if let (Some(mut settings), Some(address)) = (front, store)
             && faults.is_empty()
         {
             settings.store = address;
-            settings.watch_wait = watch;
+            settings.in_force = in_force;
+            settings.leave = leave;
+            settings.shared_allowance = shared_allowance;
             settings.grace = grace;
             settings.budget = budget;
             settings.regions = regions;
@@ -131,6 +152,7 @@
     let callers = section.required("callers", address, faults);
     let readiness = section.required("readiness", address, faults);
     let levels = "off, error, warn, info, debug, trace";
+    let peers = section.required("peers", address, faults);
     let log_level = section.optional("log-level", levels, faults);
     let margin = milliseconds(&mut section, "answer-margin-ms", faults);
     section.finish(FRONT_KEYS, faults);
@@ -142,21 +164,20 @@
         readiness: readiness?,
         log_level: log_level.unwrap_or(LevelFilter::Info),
         store: callers?,
-        watch_wait: DEFAULT_WATCH,
+        peers: peers?,
+        in_force: DEFAULT_BOUND,
+        leave: DEFAULT_BOUND,
         answer_margin: margin.unwrap_or(DEFAULT_MARGIN),
         grace: Duration::ZERO,
         budget: default_budget(),
+        shared_allowance: 0.0,
     })
 }
 
-fn read_store(
-    mut section: IniSection,
-    faults: &mut Vec<IniFault>,
-) -> Option<(SocketAddr, Duration)> {
+fn read_store(mut section: IniSection, faults: &mut Vec<IniFault>) -> Option<SocketAddr> {
     let address = section.required("address", "an IP address and port", faults);
-    let wait = milliseconds(&mut section, "watch-ms", faults);
     section.finish(STORE_KEYS, faults);
-    Some((address?, wait.unwrap_or(DEFAULT_WATCH)))
+    address
 }
 
 fn read_budget(mut section: IniSection, faults: &mut Vec<IniFault>) -> BudgetLimits {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod configuration;
 pub mod coverage;
+pub mod front_record;
 pub mod grouping;
 pub mod id;
 pub mod ini;
@@ -21,6 +22,7 @@
 
 pub use configuration::{CheckedConfiguration, HeadObject, PartReference};
 pub use coverage::{CoverageCount, CoverageReport};
+pub use front_record::{FrontRecord, PeerKey};
 pub use grouping::{GroupId, GroupTable, ServerGroup};
 pub use id::{
     CallerName, FailureDomain, Generation, InstanceName, RequestId, ServerName, ServiceName,
--- a/crates/model/src/registration.rs
+++ b/crates/model/src/registration.rs
@@ -1,11 +1,12 @@
 //! Backend servers as they register themselves.
 
 use crate::id::{FailureDomain, ServerName, ServiceName};
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// One backend server's registration.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServerRecord {
     /// Its name; calls carry it, so that another server at a reused address refuses them.
     pub name: ServerName,
@@ -26,7 +27,7 @@
 }
 
 /// What a server says of itself.
-#[derive(Clone, Copy, Debug, derive_more::Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, derive_more::Display, Eq, PartialEq, Serialize)]
 pub enum RegisteredState {
     /// It takes calls.
     #[display("ready")]
--- a/crates/model/src/routing.rs
+++ b/crates/model/src/routing.rs
@@ -5,12 +5,13 @@
 //! until it is answered, so that all parts of an answer come from one version.
 
 use crate::id::ServiceName;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// All routes of one version.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct RouteTable {
     version: u64,
     hosts: HashMap<String, Vec<Arc<RequestRoute>>>,
@@ -19,7 +20,7 @@
 }
 
 /// Where requests of one host and path prefix go, and how.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct RequestRoute {
     /// The route's name, for logs and metrics.
     pub name: String,
@@ -42,7 +43,7 @@
 }
 
 /// The services of a route.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum RouteTarget {
     /// One service.
     Service(ServiceName),
@@ -53,7 +54,7 @@
 }
 
 /// A part of a split.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct WeightedService {
     /// The service.
     pub service: ServiceName,
@@ -62,7 +63,7 @@
 }
 
 /// How the shards' parts make up one answer.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct GatherRule {
     /// One service a shard.
     pub shards: Vec<ServiceName>,
@@ -73,14 +74,14 @@
 }
 
 /// What the configuration says of a service.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct RoutedService {
     /// Connections that one backend server takes from all callers together.
     pub most_connections: usize,
 }
 
 /// Limits on what callers may send.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct CallerLimits {
     /// Largest request body, in bytes.
     pub body_bytes: usize,
--- a/crates/policy/src/window_budget.rs
+++ b/crates/policy/src/window_budget.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Changes the allowance; what was counted stays.
+    pub fn set_allowance(&mut self, allowance: f64) {
+        self.limits.allowance = allowance;
+    }
+
     /// Counts a first call.
     pub fn earn(&mut self, now: Instant) {
         self.slice(now).firsts += 1;
--- a/crates/standins/src/routed/stage.rs
+++ b/crates/standins/src/routed/stage.rs
@@ -92,9 +92,10 @@
         let settings = self.directory.join(format!("front-{}.ini", callers.port()));
         let mut text = format!(
             "[front]\nvm = vm-{}\nfailure-domain = {domain}\ncallers = {callers}\n\
-             readiness = {readiness}\n[store]\naddress = {}\nwatch-ms = 1000\n\
-             [stop]\ngrace-ms = 4000\n[budget]\nratio = 0.2\nallowance = 5\n[regions]\n",
+             readiness = {readiness}\npeers = {}\n[store]\naddress = {}\n\
+             [bounds]\nin-force-ms = 3000\nleave-ms = 3000\n[stop]\ngrace-ms = 4000\n[budget]\nratio = 0.2\nallowance = 5\n[regions]\n",
             callers.port(),
+            free_address(),
             self.store_address
         );
         for domain in DOMAINS {
