A query earns extra calls once for all its shards; hedges wait for their last chance

Change: one budget for all services of a query; before the last moment at which a hedge can be in time only a rich budget pays, and what the answer can do without leaves a part to others. Parts wait after an outage only where no server is known.

--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -35,6 +35,8 @@
     pub members: Arc<Mutex<Vec<FrontRecord>>>,
     /// The keys of these fronts.
     pub pinned: Arc<PinnedKeys>,
+    /// Extra calls in each window beside the ratio, before others are known.
+    pub own_allowance: f64,
     /// Extra calls in each window that all fronts share beside the ratio.
     pub shared_allowance: f64,
     /// The daemon's clock.
@@ -221,7 +223,7 @@
     /// This front's part of the extra calls that all share; before the others
     /// are known, the one of the settings.
     fn allowance(&self) -> f64 {
-        let own = self.parts.lines.budget.allowance;
+        let own = self.parts.own_allowance;
         match self.fronts.len() {
             0 => own,
             count => (self.parts.shared_allowance * SHARED_PART / count as f64).max(own),
@@ -235,7 +237,7 @@
             let service = entry.record.service.clone();
             by_service.entry(service).or_default().push(entry.clone());
         }
-        // A service without servers keeps its budget, and requests may wait there.
+        // Requests may wait at a service that has no servers.
         let routed = self.routes.iter().flat_map(|routes| routes.services());
         for service in self.services.keys().chain(routed) {
             by_service.entry(service.clone()).or_default();
@@ -251,6 +253,7 @@
             services: Arc::new(self.services.clone()),
             knows_servers: self.directory.is_listed(),
             settles_at: self.directory.settles_at(),
+            allowance: self.allowance(),
         });
     }
 
@@ -291,9 +294,7 @@
                 ready.push(line);
             }
         }
-        let lines =
-            ServiceLines::rebuilt(before.map(AsRef::as_ref), ready, missing, &self.parts.lines);
-        lines.budget().set_allowance(self.allowance());
+        let lines = ServiceLines::rebuilt(before.map(AsRef::as_ref), ready, missing);
         Arc::new(lines)
     }
 }
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -4,9 +4,11 @@
 //! A route to one service has one part, whose answer is passed on. A route over
 //! shards has a part for each, and the parts are merged.
 
+mod budgets;
 mod part;
 mod times;
 
+pub use budgets::CallBudgets;
 pub use times::CallTimes;
 
 use crate::answer::{FailReason, MergedAnswer, RefusedAnswer, RoutedAnswer};
@@ -29,8 +31,16 @@
 use std::time::{Duration, Instant};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-/// A part of a service's budget that hedges leave to retries, 0 to 1.
-const HEDGE_RESERVE: f64 = 0.3;
+/// The part of a budget, 0 to 1, that is left by extra calls without which the
+/// answer would still be a success.
+const OPTIONAL_RESERVE: f64 = 0.2;
+/// The part that is left by hedges that can still be made later.
+const EARLY_RESERVE: f64 = 0.6;
+/// The part that is left by hedges without which there may be no answer in time.
+const HEDGE_RESERVE: f64 = 0.1;
+/// A hedge takes this part of the objective; one that is made later than that
+/// before the answer is due would not be in it.
+const HEDGE_TIME: f64 = 0.4;
 /// Calls of a part that servers may reject beside the route's attempts.
 const MOST_REJECTED: usize = 2;
 /// The answer is built this long before the time limit.
@@ -48,6 +58,8 @@
     pub tools: CallTools<Wire>,
     /// How long calls take.
     pub times: Arc<CallTimes>,
+    /// What extra calls may be made.
+    pub budgets: CallBudgets,
     /// The daemon's metrics.
     pub metrics: Arc<FrontMetrics>,
     /// A query is answered this long before its objective, with what is there.
@@ -85,6 +97,8 @@
     _done_guard: DropGuard,
     /// When a query is answered with what is there.
     answer_at: Instant,
+    /// A hedge that starts later would come after the answer is due.
+    last_chance: Instant,
     deadline: Instant,
     extra_calls: usize,
 }
@@ -143,6 +157,8 @@
             deadline: give_up,
         };
         let objective = route.objective.saturating_sub(parts.answer_margin);
+        let answer_at = (request.began + objective).min(deadline - REPLY_MARGIN);
+        let hedge_time = route.objective.mul_f64(HEDGE_TIME).min(objective);
         Self {
             parts,
             request,
@@ -153,13 +169,16 @@
             sender,
             _done_guard: done.clone().drop_guard(),
             done,
-            answer_at: (request.began + objective).min(deadline - REPLY_MARGIN),
+            answer_at,
+            last_chance: (answer_at - hedge_time).max(request.began),
             deadline: deadline - REPLY_MARGIN,
             extra_calls: 0,
         }
     }
 
     async fn drive(&mut self) {
+        let services = &self.request.services;
+        self.parts.budgets.earn(services, self.now());
         for part in 0..self.progress.len() {
             self.start(part, CallPurpose::First);
         }
@@ -238,11 +257,6 @@
             self.progress[part].last = "no-server";
             return;
         };
-        if purpose == CallPurpose::First
-            && !std::mem::replace(&mut self.progress[part].is_earned, true)
-        {
-            lines.budget().earn(now);
-        }
         let most_idle = if self.request.route.idempotent {
             MOST_IDLE
         } else {
@@ -250,12 +264,13 @@
         };
         match lines.acquire(&self.progress[part].tried, most_idle, now) {
             Ok(permit) => {
-                if self.may_send(part, purpose, lines, now) {
+                if self.may_send(part, purpose, view.allowance, now) {
                     self.send(part, purpose, permit);
                 }
             }
             Err(_) if purpose == CallPurpose::Hedge => {}
-            Err(AcquireError::NoServer) => {
+            Err(AcquireError::AllTried) => self.progress[part].last = "all-tried",
+            Err(AcquireError::NoneKnown) => {
                 self.progress[part].last = "no-server";
                 if let Some(until) = view.settles_at.filter(|until| now < *until) {
                     self.wait_for_room(part, lines, until);
@@ -270,33 +285,54 @@
         &mut self,
         part: usize,
         purpose: CallPurpose,
-        lines: &ServiceLines,
+        allowance: f64,
         now: Instant,
     ) -> bool {
         if self.progress[part].has_no_arrival() {
             return true;
         }
-        let reserve = match purpose {
-            CallPurpose::Hedge => HEDGE_RESERVE,
-            CallPurpose::First | CallPurpose::Retry => 0.0,
-        };
-        let allowed = lines.budget().spend(reserve, now);
+        let reserve = self.reserve(purpose, now);
+        let services = &self.request.services;
+        let allowed = self.parts.budgets.spend(services, allowance, reserve, now);
         if allowed {
             self.extra_calls += 1;
         } else {
             self.progress[part].last = "no-budget";
             self.parts.metrics.budget_refusals.inc();
             event!(
-                Info,
+                Debug,
                 "extra-call-refused",
                 request = self.order.head.id,
                 service = self.progress[part].service,
-                purpose = purpose
+                purpose = purpose,
+                reserve = reserve
             );
         }
         allowed
     }
 
+    /// How much of the budget an extra call leaves to others.
+    fn reserve(&self, purpose: CallPurpose, now: Instant) -> f64 {
+        let is_optional = match &self.request.gather {
+            Some(rule) => self.may_answer_without_one(rule),
+            None => false,
+        };
+        match purpose {
+            CallPurpose::Hedge if now < self.last_chance => EARLY_RESERVE,
+            CallPurpose::Hedge if is_optional => OPTIONAL_RESERVE,
+            CallPurpose::Hedge => HEDGE_RESERVE,
+            CallPurpose::First | CallPurpose::Retry if is_optional => OPTIONAL_RESERVE,
+            CallPurpose::First | CallPurpose::Retry => 0.0,
+        }
+    }
+
+    /// Whether the answer is a success without the parts that are late or failed.
+    fn may_answer_without_one(&self, rule: &GatherRule) -> bool {
+        let is_in_doubt = |part: &&PartProgress| part.answer.is_none() && part.is_in_doubt;
+        let in_doubt = self.progress.iter().filter(is_in_doubt).count();
+        self.progress.len() - in_doubt >= rule.least_parts()
+    }
+
     /// Tries again when a server may have become free or known, or at `until`.
     fn wait_for_room(&mut self, part: usize, lines: &Arc<ServiceLines>, until: Instant) {
         self.progress[part].is_waiting = true;
@@ -370,6 +406,7 @@
         progress.calls[call].is_running = false;
         progress.calls[call].late_at = None;
         progress.last = end.name();
+        progress.is_in_doubt = true;
         match end {
             CallEnd::Answered(answer) if answer.status.is_success() => {
                 progress.answer.get_or_insert(answer);
@@ -401,15 +438,22 @@
         }
     }
 
-    /// Marks servers whose calls are late, and asks others.
+    /// Marks servers whose calls are late, and asks others: at once if the
+    /// budget is rich, else when it is the last chance to answer in time.
     fn hedge_due(&mut self) {
         let now = self.now();
-        for part in 0..self.progress.len() {
-            if !self.progress[part].take_late(now) {
+        let due: Vec<usize> = (0..self.progress.len())
+            .filter(|part| self.progress[*part].take_late(now))
+            .collect();
+        for part in due {
+            if !self.progress[part].may_hedge(&self.request.route) {
                 continue;
             }
-            if self.progress[part].may_hedge(&self.request.route) {
-                self.start(part, CallPurpose::Hedge);
+            let calls = self.progress[part].calls.len();
+            self.start(part, CallPurpose::Hedge);
+            let is_sent = self.progress[part].calls.len() > calls;
+            if !is_sent && now < self.last_chance {
+                self.progress[part].hedge_at = Some(self.last_chance);
             }
         }
     }
--- /dev/null
+++ b/crates/front/src/fan_out/budgets.rs
@@ -0,0 +1,62 @@
+//! Budgets of extra calls.
+//!
+//! The services of one query count as one: a query earns once, however many
+//! shards it has, and the extra calls of all its shards are paid from that.
+
+use camphorway_daemon::sync::lock;
+use camphorway_model::ServiceName;
+use camphorway_policy::{BudgetLimits, WindowBudget};
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Instant;
+
+/// The budgets of all services.
+#[derive(Debug)]
+pub struct CallBudgets {
+    limits: BudgetLimits,
+    table: Mutex<HashMap<ServiceName, WindowBudget>>,
+}
+
+impl CallBudgets {
+    /// Budgets with these limits.
+    pub fn new(limits: BudgetLimits) -> Self {
+        Self {
+            limits,
+            table: Mutex::default(),
+        }
+    }
+
+    /// Counts a request to `services`.
+    pub fn earn(&self, services: &[ServiceName], now: Instant) {
+        self.with(services, |budget| budget.earn(now));
+    }
+
+    /// Counts an extra call if it may go. `allowance` is this front's part of
+    /// those that all fronts share; `reserve` is left to others, 0 to 1.
+    pub fn spend(
+        &self,
+        services: &[ServiceName],
+        allowance: f64,
+        reserve: f64,
+        now: Instant,
+    ) -> bool {
+        let spent = self.with(services, |budget| {
+            budget.set_allowance(allowance);
+            budget.spend(reserve, now)
+        });
+        spent.unwrap_or(false)
+    }
+
+    fn with<Use, Output>(&self, services: &[ServiceName], use_budget: Use) -> Option<Output>
+    where
+        Use: FnOnce(&mut WindowBudget) -> Output,
+    {
+        // All routes over one set of services find the same budget.
+        let key = services.iter().min()?;
+        let mut table = lock(&self.table);
+        if !table.contains_key(key) {
+            table.insert(key.clone(), WindowBudget::new(self.limits));
+        }
+        table.get_mut(key).map(use_budget)
+    }
+}
--- a/crates/front/src/fan_out/part.rs
+++ b/crates/front/src/fan_out/part.rs
@@ -15,8 +15,10 @@
     pub(super) calls: Vec<RunningCall>,
     pub(super) rejected: usize,
     pub(super) is_waiting: bool,
-    /// Whether the budget counts this part's first call.
-    pub(super) is_earned: bool,
+    /// Whether a call was late or has failed.
+    pub(super) is_in_doubt: bool,
+    /// When to try again to ask a second server.
+    pub(super) hedge_at: Option<Instant>,
     pub(super) answer: Option<ServerAnswer>,
     pub(super) failure: Option<ServerAnswer>,
     /// What happened last, for logs.
@@ -42,7 +44,8 @@
             calls: Vec::new(),
             rejected: 0,
             is_waiting: false,
-            is_earned: false,
+            is_in_doubt: false,
+            hedge_at: None,
             answer: None,
             failure: None,
             last: "not-asked",
@@ -69,16 +72,25 @@
     }
 
     pub(super) fn next_hedge(&self) -> Option<Instant> {
-        self.calls.iter().filter_map(|call| call.late_at).min()
+        if self.answer.is_some() {
+            return None;
+        }
+        let late = self.calls.iter().filter_map(|call| call.late_at);
+        late.chain(self.hedge_at).min()
     }
 
-    /// Notes the calls that became late by `now`; whether there were any.
+    /// Notes the calls that became late by `now`; whether a second server should
+    /// be asked.
     pub(super) fn take_late(&mut self, now: Instant) -> bool {
-        let mut any = false;
+        if self.answer.is_some() {
+            return false;
+        }
+        let mut any = self.hedge_at.take_if(|at| now >= *at).is_some();
         for call in &mut self.calls {
             if call.late_at.is_some_and(|at| now >= at) {
                 call.late_at = None;
                 call.line.note_stalled();
+                self.is_in_doubt = true;
                 any = true;
             }
         }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::control::{ControlParts, FrontControl};
 use crate::door::FrontDoor;
-use crate::fan_out::{CallTimes, FanOutParts};
+use crate::fan_out::{CallBudgets, CallTimes, FanOutParts};
 use crate::feed::{FeedFollower, FeedParts, FeedTimes};
 use crate::knowledge::FeedKnowledge;
 use crate::membership;
@@ -163,6 +163,7 @@
                 spawner: self.spawner.clone(),
             },
             times: Arc::new(CallTimes::default()),
+            budgets: CallBudgets::new(self.settings.budget),
             metrics: Arc::clone(&self.metrics),
             answer_margin: self.settings.answer_margin,
         });
@@ -238,11 +239,11 @@
             lines: LineSettings {
                 domain: settings.domain.clone(),
                 regions: Arc::new(settings.regions.clone()),
-                budget: settings.budget,
                 clock: self.clock.clone(),
             },
             members,
             pinned: Arc::clone(&self.pinned),
+            own_allowance: settings.budget.allowance,
             shared_allowance: settings.shared_allowance,
             clock: self.clock.clone(),
             metrics: Arc::clone(&self.metrics),
--- a/crates/front/src/server_line.rs
+++ b/crates/front/src/server_line.rs
@@ -5,7 +5,7 @@
 use camphorway_daemon::http_client::RequestSender;
 use camphorway_daemon::sync::lock;
 use camphorway_model::{FailureDomain, ServerName, ServerRecord};
-use camphorway_policy::{BudgetLimits, ReplicaOutcome, ReplicaStats, ServerDistance, WindowBudget};
+use camphorway_policy::{ReplicaOutcome, ReplicaStats, ServerDistance};
 use derive_more::Debug;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -31,8 +31,6 @@
     pub domain: FailureDomain,
     /// The region of each failure domain.
     pub regions: Arc<HashMap<FailureDomain, String>>,
-    /// Limits of extra calls for each service.
-    pub budget: BudgetLimits,
     /// The daemon's clock.
     pub clock: DaemonClock,
 }
@@ -198,9 +196,8 @@
 }
 
 /// What outlives a change of the servers.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct ServiceShared {
-    budget: Mutex<WindowBudget>,
     waiting: Mutex<WaitingList>,
 }
 
@@ -226,31 +223,26 @@
 /// Why no server can be asked now.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AcquireError {
-    /// No server is left to try.
-    NoServer,
+    /// No server is known.
+    NoneKnown,
+    /// All known servers were tried, or can't be used.
+    AllTried,
     /// All have as many calls as they take.
     Busy,
 }
 
 impl ServiceLines {
-    /// The lines after a change; budget and waiting list go on.
+    /// The lines after a change; the waiting list goes on.
     pub fn rebuilt(
         before: Option<&Self>,
         ready: Vec<Arc<ServerLine>>,
         missing: Vec<Arc<ServerLine>>,
-        settings: &LineSettings,
     ) -> Self {
         let shared = before.map(|before| Arc::clone(&before.shared));
-        let shared = shared.unwrap_or_else(|| {
-            Arc::new(ServiceShared {
-                budget: Mutex::new(WindowBudget::new(settings.budget)),
-                waiting: Mutex::default(),
-            })
-        });
         let lines = Self {
             ready,
             missing,
-            shared,
+            shared: shared.unwrap_or_default(),
         };
         // Whoever waits may find a new server.
         lines.shared.wake_all();
@@ -262,11 +254,6 @@
         self.ready.iter().chain(&self.missing)
     }
 
-    /// The budget of extra calls; hold it for short steps only.
-    pub fn budget(&self) -> MutexGuard<'_, WindowBudget> {
-        lock(&self.shared.budget)
-    }
-
     /// Takes a place at the best server that is not in `tried`, with a connection
     /// if one has been idle for `most_idle` at most.
     ///
@@ -279,7 +266,11 @@
         now: Instant,
     ) -> Result<LinePermit, AcquireError> {
         let chosen = match best_line(&self.ready, tried, now) {
-            Err(AcquireError::NoServer) => best_line(&self.missing, tried, now),
+            Err(AcquireError::NoneKnown) => best_line(&self.missing, tried, now),
+            Err(AcquireError::AllTried) => match best_line(&self.missing, tried, now) {
+                Err(AcquireError::NoneKnown) => Err(AcquireError::AllTried),
+                other => other,
+            },
             other => other,
         };
         let line = Arc::clone(chosen?);
@@ -330,8 +321,11 @@
     let fresh = lines.iter().filter(|line| !tried.contains(line.name()));
     let offers = fresh.map(|line| (line, line.offer(now)));
     let offers: Vec<_> = offers.filter(|(_, offer)| offer.is_usable).collect();
+    if lines.is_empty() {
+        return Err(AcquireError::NoneKnown);
+    }
     if offers.is_empty() {
-        return Err(AcquireError::NoServer);
+        return Err(AcquireError::AllTried);
     }
     // Waiting for a sound server is better than asking one that stalls.
     let has_sound = offers.iter().any(|(_, offer)| offer.is_sound);
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -26,6 +26,8 @@
     /// Until when servers that are not known may still come back after trouble
     /// with the store.
     pub settles_at: Option<Instant>,
+    /// Extra calls that this front may make in each window beside the ratio.
+    pub allowance: f64,
 }
 
 impl SharedFront {
--- a/tests/all/front/faults.rs
+++ b/tests/all/front/faults.rs
@@ -169,3 +169,21 @@
     let most = requests + requests / 5 + 5;
     assert!(arrivals <= most, "{arrivals} of {most}");
 }
+
+#[test]
+fn a_query_earns_once_for_all_its_shards() {
+    let shards = 5;
+    let stage = stage(shards, 1);
+    for server in stage.servers.iter().flatten() {
+        server.set_fault(ServerFault::Reject);
+    }
+    let queries = 60;
+    for _ in 0..queries {
+        stage.ask(0, "GET", "/all/", &new_id()).expect("an answer");
+    }
+    let servers = stage.servers.iter().flatten();
+    let arrivals: usize = servers.map(|server| server.arrivals().len()).sum();
+    // One first call a shard; the ratio and the allowance count for the query.
+    let most = queries * shards + queries / 5 + 5;
+    assert!(arrivals <= most, "{arrivals} of {most}");
+}
