Fronts of a failure domain tell each other which servers stall

Change: the first front whose call is late tells those of its domain by a datagram, and that the server answers again.

--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -443,7 +443,7 @@
     fn hedge_due(&mut self) {
         let now = self.now();
         let due: Vec<usize> = (0..self.progress.len())
-            .filter(|part| self.progress[*part].take_late(now))
+            .filter(|part| self.progress[*part].take_late(&self.parts.tools.news, now))
             .collect();
         for part in due {
             if !self.progress[part].may_hedge(&self.request.route) {
--- a/crates/front/src/fan_out/part.rs
+++ b/crates/front/src/fan_out/part.rs
@@ -2,6 +2,7 @@
 
 use crate::answer::ServerAnswer;
 use crate::server_line::ServerLine;
+use crate::stall_news::StallNews;
 use camphorway_daemon::metrics::CallPurpose;
 use camphorway_model::{RequestRoute, ServerName, ServiceName};
 use std::sync::Arc;
@@ -81,7 +82,7 @@
 
     /// Notes the calls that became late by `now`; whether a second server should
     /// be asked.
-    pub(super) fn take_late(&mut self, now: Instant) -> bool {
+    pub(super) fn take_late(&mut self, news: &StallNews, now: Instant) -> bool {
         if self.answer.is_some() {
             return false;
         }
@@ -89,7 +90,9 @@
         for call in &mut self.calls {
             if call.late_at.is_some_and(|at| now >= at) {
                 call.late_at = None;
-                call.line.note_stalled();
+                if call.line.note_stalled() {
+                    news.tell(&call.line, true);
+                }
                 self.is_in_doubt = true;
                 any = true;
             }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -13,6 +13,7 @@
 use crate::server_call::CallTools;
 use crate::server_line::LineSettings;
 use crate::settings::FrontSettings;
+use crate::stall_news::{StallNews, StallNotice, StallTeller};
 use crate::view::SharedFront;
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
@@ -32,8 +33,8 @@
 use futures_lite::{FutureExt, StreamExt};
 use quinn::Connection;
 use std::net::UdpSocket;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
@@ -73,6 +74,8 @@
     pinned: Arc<PinnedKeys>,
     links: Arc<PeerLinks>,
     knowledge: Arc<FeedKnowledge>,
+    members: Arc<Mutex<Vec<FrontRecord>>>,
+    news: Arc<StallNews>,
 }
 
 /// Runs a front until a signal ends it; `make_source` builds the adapter of the
@@ -106,6 +109,8 @@
     })?;
     let (sink, adopted) = async_channel::unbounded();
     let links = PeerLinks::open(socket, tls, &spawner, &clock, sink).map_err(StartError::Thread)?;
+    let view = Arc::default();
+    let (news, notices) = StallNews::new(Arc::clone(&view));
     let own = FrontRecord {
         vm: settings.vm.clone(),
         domain: settings.domain.clone(),
@@ -119,7 +124,6 @@
         clock,
         metrics: Arc::new(FrontMetrics::new()),
         spawner,
-        view: Arc::default(),
         is_stopping: Arc::default(),
         stop_callers: stop_all.child_token(),
         stop_all,
@@ -127,8 +131,11 @@
         pinned,
         links: Arc::new(links),
         knowledge: Arc::default(),
+        members: Arc::default(),
+        news: Arc::new(news),
+        view,
     };
-    core.start_peers(adopted);
+    core.start_peers(adopted, notices);
     core.start_callers(callers);
     core.start_readiness(readiness);
     let control = core.start_control()?;
@@ -161,6 +168,7 @@
                 wire: Arc::clone(&self.wire),
                 clock: self.clock.clone(),
                 spawner: self.spawner.clone(),
+                news: Arc::clone(&self.news),
             },
             times: Arc::new(CallTimes::default()),
             budgets: CallBudgets::new(self.settings.budget),
@@ -199,9 +207,10 @@
         self.spawner.spawn(port.serve(Arc::new(handler)));
     }
 
-    fn start_peers(&self, adopted: Receiver<Connection>) {
+    fn start_peers(&self, adopted: Receiver<Connection>, notices: Receiver<StallNotice>) {
         let port = PeerPort {
             knowledge: Arc::clone(&self.knowledge),
+            news: Arc::clone(&self.news),
             links: Arc::clone(&self.links),
             clock: self.clock.clone(),
             spawner: self.spawner.clone(),
@@ -209,11 +218,14 @@
         };
         self.spawner.spawn(port.clone().accept());
         self.spawner.spawn(port.attend_all(adopted));
+        let members = Arc::clone(&self.members);
+        let teller = StallTeller::new(notices, &self.own, members, Arc::clone(&self.links));
+        self.spawner.spawn(teller.run());
     }
 
     fn start_control(&self) -> Result<JoinHandle<()>, StartError> {
         let (news, inbox) = async_channel::unbounded();
-        let members = Arc::default();
+        let members = Arc::clone(&self.members);
         let parts = Arc::new(FeedParts {
             source: Arc::clone(&self.source),
             links: Arc::clone(&self.links),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod server_call;
 pub mod server_line;
 pub mod settings;
+pub mod stall_news;
 pub mod view;
--- a/crates/front/src/peer_port.rs
+++ b/crates/front/src/peer_port.rs
@@ -1,6 +1,7 @@
-//! Answers other fronts' questions about feeds.
+//! Answers other fronts' questions about feeds, and takes their notices.
 
 use crate::knowledge::{FeedAsk, FeedKnowledge, FeedReply};
+use crate::stall_news::StallNews;
 use async_channel::Receiver;
 use camphorway_daemon::clock::DaemonClock;
 use camphorway_daemon::event;
@@ -21,6 +22,8 @@
 pub struct PeerPort {
     /// What is told.
     pub knowledge: Arc<FeedKnowledge>,
+    /// Takes notices.
+    pub news: Arc<StallNews>,
     /// Connections to peers.
     pub links: Arc<PeerLinks>,
     /// The daemon's clock.
@@ -53,12 +56,21 @@
         while let Ok(connection) = adopted.recv().await {
             let port = self.clone();
             self.spawner.spawn(async move {
-                port.attend(connection).or(port.stop.cancelled()).await;
+                let notices = port.take_notices(&connection);
+                let asks = port.attend(&connection);
+                asks.or(notices).or(port.stop.cancelled()).await;
             });
         }
     }
 
-    async fn attend(&self, connection: Connection) {
+    async fn take_notices(&self, connection: &Connection) {
+        // Datagrams end with the connection.
+        while let Ok(bytes) = connection.read_datagram().await {
+            self.news.take(&bytes);
+        }
+    }
+
+    async fn attend(&self, connection: &Connection) {
         // The stream of streams ends with the connection.
         while let Ok((sender, receiver)) = connection.accept_bi().await {
             let port = self.clone();
--- a/crates/front/src/server_call.rs
+++ b/crates/front/src/server_call.rs
@@ -4,6 +4,7 @@
 use crate::answer::ServerAnswer;
 use crate::ports::{ReplyHead, ReplyRun, RequestHead, ServerAsk, WireDialect};
 use crate::server_line::LinePermit;
+use crate::stall_news::StallNews;
 use bytes::Bytes;
 use camphorway_daemon::clock::DaemonClock;
 use camphorway_daemon::http_client::{ConnectError, RequestSender, connect};
@@ -51,6 +52,8 @@
     pub clock: DaemonClock,
     /// Runs connections.
     pub spawner: TaskSpawner,
+    /// Tells other fronts which servers stall.
+    pub news: Arc<StallNews>,
 }
 
 /// How a call ended.
@@ -152,7 +155,10 @@
         if let CallEnd::NotRun(NotRunCause::Misdirected) = end {
             permit.line().set_misdirected();
         }
-        permit.end(outcome);
+        let line = Arc::clone(permit.line());
+        if permit.end(outcome) {
+            self.news.tell(&line, false);
+        }
         end
     }
 
--- a/crates/front/src/server_line.rs
+++ b/crates/front/src/server_line.rs
@@ -136,10 +136,21 @@
         state.idle.clear();
     }
 
-    /// A call has taken longer than is usual.
-    pub fn note_stalled(&self) {
+    /// A call has taken longer than is usual; whether that is news.
+    pub fn note_stalled(&self) -> bool {
         let now = self.clock.now();
-        self.lock().stats.stalled(now);
+        self.lock().stats.stalled(now)
+    }
+
+    /// Another front has seen that the server stalls, or that it does no longer.
+    pub fn heard_of_stall(&self, is_stalled: bool) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if is_stalled {
+            state.stats.stalled(now);
+        } else {
+            state.stats.recovered();
+        }
     }
 
     /// Keeps a connection for the next call.
@@ -218,6 +229,7 @@
     connection: Option<RequestSender>,
     /// Whether this call counts as making a connection.
     is_connecting: bool,
+    is_released: bool,
 }
 
 /// Why no server can be asked now.
@@ -281,6 +293,7 @@
             outcome: ReplicaOutcome::Abandoned,
             connection: None,
             is_connecting: false,
+            is_released: false,
         };
         let mut state = permit.line.lock();
         state.stats.started(now);
@@ -401,21 +414,30 @@
         }
     }
 
-    /// Notes how the call ended.
-    pub fn end(mut self, outcome: ReplicaOutcome) {
+    /// Notes how the call ended; whether that shows that a stall is over.
+    pub fn end(mut self, outcome: ReplicaOutcome) -> bool {
         self.outcome = outcome;
+        self.release()
     }
-}
 
-impl Drop for LinePermit {
-    fn drop(&mut self) {
+    fn release(&mut self) -> bool {
+        if std::mem::replace(&mut self.is_released, true) {
+            return false;
+        }
         self.end_connecting();
         if let Some(unused) = self.connection.take() {
             self.line.put_idle(unused, None);
         }
         let now = self.line.clock.now();
         let took = now.saturating_duration_since(self.started);
-        self.line.lock().stats.ended(self.outcome, took, now);
+        let is_over = self.line.lock().stats.ended(self.outcome, took, now);
         self.shared.wake_one();
+        is_over
+    }
+}
+
+impl Drop for LinePermit {
+    fn drop(&mut self) {
+        self.release();
     }
 }
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -179,13 +179,26 @@
         }
     }
 
-    /// A call has taken longer than is usual.
-    pub fn stalled(&mut self, now: Instant) {
+    /// A call has taken longer than is usual; whether that is news.
+    pub fn stalled(&mut self, now: Instant) -> bool {
+        let was_stalled = self.is_stalled(now);
         self.stalled_until = Some(now + STALL_LIFETIME);
+        !was_stalled
     }
 
-    /// A call ended after `took`.
-    pub fn ended(&mut self, outcome: ReplicaOutcome, took: Duration, now: Instant) {
+    /// Another front has seen that the server answers again.
+    pub fn recovered(&mut self) {
+        self.stalled_until = None;
+    }
+
+    /// A call ended after `took`; whether that shows that a stall is over.
+    pub fn ended(&mut self, outcome: ReplicaOutcome, took: Duration, now: Instant) -> bool {
+        let was_stalled = self.is_stalled(now);
+        self.note_end(outcome, took, now);
+        was_stalled && self.stalled_until.is_none()
+    }
+
+    fn note_end(&mut self, outcome: ReplicaOutcome, took: Duration, now: Instant) {
         self.outstanding = self.outstanding.saturating_sub(1);
         match outcome {
             ReplicaOutcome::Answered => {
