Stall notices go over the first fronts to the whole region

Change: a front tells its domain's first front, which passes on to its domain and to the region's other first fronts.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -13,7 +13,7 @@
 use crate::server_call::CallTools;
 use crate::server_line::LineSettings;
 use crate::settings::FrontSettings;
-use crate::stall_news::{StallNews, StallNotice, StallTeller};
+use crate::stall_news::{HeardNotice, StallNews, StallTeller};
 use crate::view::SharedFront;
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
@@ -29,7 +29,7 @@
 use camphorway_daemon::settings::LimitSettings;
 use camphorway_daemon::task::TaskSpawner;
 use camphorway_model::FrontRecord;
-use camphorway_policy::FeedOrder;
+use camphorway_policy::{FeedOrder, NoticeRoute};
 use futures_lite::{FutureExt, StreamExt};
 use quinn::Connection;
 use std::net::UdpSocket;
@@ -207,7 +207,7 @@
         self.spawner.spawn(port.serve(Arc::new(handler)));
     }
 
-    fn start_peers(&self, adopted: Receiver<Connection>, notices: Receiver<StallNotice>) {
+    fn start_peers(&self, adopted: Receiver<Connection>, notices: Receiver<HeardNotice>) {
         let port = PeerPort {
             knowledge: Arc::clone(&self.knowledge),
             news: Arc::clone(&self.news),
@@ -219,7 +219,8 @@
         self.spawner.spawn(port.clone().accept());
         self.spawner.spawn(port.attend_all(adopted));
         let members = Arc::clone(&self.members);
-        let teller = StallTeller::new(notices, &self.own, members, Arc::clone(&self.links));
+        let route = NoticeRoute::new(&self.own, &self.settings.regions);
+        let teller = StallTeller::new(notices, route, members, Arc::clone(&self.links));
         self.spawner.spawn(teller.run());
     }
 
--- a/crates/front/src/peer_port.rs
+++ b/crates/front/src/peer_port.rs
@@ -66,7 +66,7 @@
     async fn take_notices(&self, connection: &Connection) {
         // Datagrams end with the connection.
         while let Ok(bytes) = connection.read_datagram().await {
-            self.news.take(&bytes);
+            self.news.take(&bytes, connection.remote_address());
         }
     }
 
--- a/crates/front/src/stall_news.rs
+++ b/crates/front/src/stall_news.rs
@@ -1,4 +1,4 @@
-//! Tells the fronts of the same failure domain which servers have stalled.
+//! Tells the fronts of the same region which servers have stalled.
 //!
 //! Each front calls a server seldom, and a stall is short: without the others'
 //! news, each would lose a call to find out. A notice is a datagram that may
@@ -11,12 +11,11 @@
 use camphorway_daemon::peer::link::PeerLinks;
 use camphorway_daemon::sync::lock;
 use camphorway_model::{FrontRecord, ServerName, ServiceName};
+use camphorway_policy::{NoticeReach, NoticeRoute};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-/// At most this many fronts are told.
-const MOST_TOLD: usize = 12;
 /// Notices that wait to be sent; more are dropped, as news this old is worthless.
 const MOST_WAITING: usize = 64;
 
@@ -29,27 +28,36 @@
     pub server: ServerName,
     /// Whether it stalls now.
     pub is_stalled: bool,
+    /// How far the notice has come.
+    pub reach: NoticeReach,
+}
+
+/// A notice to be passed on, and from whom it came.
+#[derive(Clone, Debug)]
+pub struct HeardNotice {
+    notice: StallNotice,
+    from: Option<SocketAddr>,
 }
 
 /// Sends and takes notices.
 #[derive(Debug)]
 pub struct StallNews {
-    sender: Sender<StallNotice>,
+    sender: Sender<HeardNotice>,
     view: Arc<SharedFront>,
 }
 
 /// What the sending of notices needs.
 #[derive(Debug)]
 pub struct StallTeller {
-    notices: Receiver<StallNotice>,
-    own: FrontRecord,
+    notices: Receiver<HeardNotice>,
+    route: NoticeRoute,
     members: Arc<Mutex<Vec<FrontRecord>>>,
     links: Arc<PeerLinks>,
 }
 
 impl StallNews {
     /// News about the servers of `view`, and where the notices come out.
-    pub fn new(view: Arc<SharedFront>) -> (Self, Receiver<StallNotice>) {
+    pub fn new(view: Arc<SharedFront>) -> (Self, Receiver<HeardNotice>) {
         let (sender, notices) = async_channel::bounded(MOST_WAITING);
         (Self { sender, view }, notices)
     }
@@ -60,14 +68,20 @@
             service: line.record().service.clone(),
             server: line.name().clone(),
             is_stalled,
+            reach: NoticeReach::Seen,
         };
-        if self.sender.try_send(notice).is_err() {
-            event!(Debug, "stall-notice-dropped", server = line.name());
+        self.pass_on(HeardNotice { notice, from: None });
+    }
+
+    fn pass_on(&self, heard: HeardNotice) {
+        let server = heard.notice.server.clone();
+        if self.sender.try_send(heard).is_err() {
+            event!(Debug, "stall-notice-dropped", server = server);
         }
     }
 
     /// Takes a notice of another front.
-    pub fn take(&self, bytes: &[u8]) {
+    pub fn take(&self, bytes: &[u8], from: SocketAddr) {
         let notice: StallNotice = match postcard::from_bytes(bytes) {
             Ok(notice) => notice,
             Err(cause) => {
@@ -81,20 +95,24 @@
         if let Some(line) = line {
             line.heard_of_stall(notice.is_stalled);
         }
+        self.pass_on(HeardNotice {
+            notice,
+            from: Some(from),
+        });
     }
 }
 
 impl StallTeller {
-    /// What sends `notices` for the front `own`.
+    /// What sends `notices` along `route`.
     pub fn new(
-        notices: Receiver<StallNotice>,
-        own: &FrontRecord,
+        notices: Receiver<HeardNotice>,
+        route: NoticeRoute,
         members: Arc<Mutex<Vec<FrontRecord>>>,
         links: Arc<PeerLinks>,
     ) -> Self {
         Self {
             notices,
-            own: own.clone(),
+            route,
             members,
             links,
         }
@@ -102,33 +120,24 @@
 
     /// Sends notices until the daemon ends.
     pub async fn run(self) {
-        while let Ok(notice) = self.notices.recv().await {
-            let bytes = match postcard::to_stdvec(&notice) {
-                Ok(bytes) => bytes,
-                Err(cause) => {
-                    event!(Warn, "stall-notice-not-encoded", cause = cause);
-                    continue;
-                }
-            };
-            for peer in self.told() {
-                if let Err(error) = self.links.send(peer, &bytes).await {
+        while let Ok(heard) = self.notices.recv().await {
+            let reach = heard.notice.reach;
+            let targets = self.route.next(reach, heard.from, &lock(&self.members));
+            for (peer, reach) in targets {
+                let notice = StallNotice {
+                    reach,
+                    ..heard.notice.clone()
+                };
+                if let Err(error) = self.send(peer, &notice).await {
                     event!(Debug, "stall-notice-not-sent", error = error);
                 }
             }
         }
     }
 
-    fn told(&self) -> Vec<SocketAddr> {
-        let members = lock(&self.members);
-        let is_near =
-            |front: &&FrontRecord| front.domain == self.own.domain && front.vm != self.own.vm;
-        let mut peers: Vec<SocketAddr> = members
-            .iter()
-            .filter(is_near)
-            .map(|front| front.address)
-            .collect();
-        fastrand::shuffle(&mut peers);
-        peers.truncate(MOST_TOLD);
-        peers
+    async fn send(&self, peer: SocketAddr, notice: &StallNotice) -> Result<(), String> {
+        let bytes = postcard::to_stdvec(notice).map_err(|cause| cause.to_string())?;
+        let sent = self.links.send(peer, &bytes).await;
+        sent.map_err(|error| error.to_string())
     }
 }
--- a/crates/policy/src/feed_order.rs
+++ b/crates/policy/src/feed_order.rs
@@ -50,8 +50,7 @@
 
     /// Whether this front asks the store before any peer.
     pub fn is_first(&self, members: &[FrontRecord]) -> bool {
-        let near = self.ranked(members, true);
-        near.first().is_none_or(|first| first.vm == self.own)
+        first_of(&self.domain, members).is_none_or(|first| first.vm == self.own)
     }
 
     /// The origins to try, in order. The last is in another failure domain: it
@@ -87,17 +86,26 @@
     ) -> Vec<&'members FrontRecord> {
         let wanted = |member: &&FrontRecord| (member.domain == self.domain) == is_near;
         let mut ranked: Vec<&FrontRecord> = members.iter().filter(wanted).collect();
-        ranked.sort_by_key(|member| std::cmp::Reverse(self.score(&member.vm)));
+        ranked.sort_by_key(|member| std::cmp::Reverse(score(&self.domain, &member.vm)));
         ranked
     }
+}
 
-    /// All fronts of a failure domain compute the same scores; those of another
-    /// prefer others, so that they don't all ask one.
-    fn score(&self, vm: &VmName) -> u64 {
-        let mut hasher = Xxh3::new();
-        hasher.update(self.domain.as_str().as_bytes());
-        hasher.update(&[0]);
-        hasher.update(vm.as_str().as_bytes());
-        hasher.digest()
-    }
+/// The front of a failure domain that asks the store before the others.
+pub fn first_of<'members>(
+    domain: &FailureDomain,
+    members: &'members [FrontRecord],
+) -> Option<&'members FrontRecord> {
+    let near = members.iter().filter(|member| member.domain == *domain);
+    near.max_by_key(|member| score(domain, &member.vm))
+}
+
+/// All fronts of a failure domain compute the same scores; those of another
+/// prefer others, so that they don't all ask one.
+fn score(domain: &FailureDomain, vm: &VmName) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(domain.as_str().as_bytes());
+    hasher.update(&[0]);
+    hasher.update(vm.as_str().as_bytes());
+    hasher.digest()
 }
--- a/crates/policy/tests/all/feed_order.rs
+++ b/crates/policy/tests/all/feed_order.rs
@@ -4,7 +4,7 @@
 use camphorway_policy::{FeedOrder, FeedOrigin};
 use std::time::{Duration, Instant};
 
-fn members(domains: usize, each: usize) -> Vec<FrontRecord> {
+pub(crate) fn members(domains: usize, each: usize) -> Vec<FrontRecord> {
     let number = |domain: usize, index: usize| domain * each + index;
     let record = |domain: usize, index: usize| FrontRecord {
         vm: VmName::new(&format!("vm-{}", number(domain, index))),
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod feed_order;
 mod gate;
 mod hedge;
+mod notice_route;
 mod quarantine;
 mod records;
 mod replica;
