Content that crashes servers is held at all fronts

Test: peers::content_that_crashes_servers_is_held_at_all_fronts. Change: a broken connection whose server then refuses connections is a crash; the existing quarantine decides; what is held stands in the store in a kind of our own and is deleted after its time by the first front of each domain. Peers' tests: who asks the store, frozen fronts, restarts without the store.

--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -1,12 +1,13 @@
 //! The control thread's state: the configuration in force and the directory of
 //! servers, published as a view.
 
+use crate::crash_guard::CrashGuard;
 use crate::feed::FeedNews;
 use crate::metrics::FrontMetrics;
 use crate::ports::{SourceFeed, SourceItem, SourceItems};
 use crate::server_line::{LineSettings, ServerLine, ServiceLines};
 use crate::view::{FrontView, SharedFront};
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use camphorway_daemon::clock::DaemonClock;
 use camphorway_daemon::event;
 use camphorway_daemon::peer::pinned::PinnedKeys;
@@ -14,7 +15,7 @@
 use camphorway_model::{
     FrontRecord, RegisteredState, RouteTable, ServerName, ServerRecord, ServiceName, VmName,
 };
-use camphorway_policy::{DirectoryEntry, ServerDirectory};
+use camphorway_policy::{ContentHash, DirectoryEntry, ServerDirectory};
 use futures_lite::FutureExt;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex};
@@ -35,6 +36,10 @@
     pub members: Arc<Mutex<Vec<FrontRecord>>>,
     /// The keys of these fronts.
     pub pinned: Arc<PinnedKeys>,
+    /// Keeps content that crashes servers away from them.
+    pub guard: Arc<CrashGuard>,
+    /// Takes content that is held, to be released later.
+    pub held: Sender<ContentHash>,
     /// Extra calls in each window beside the ratio, before others are known.
     pub own_allowance: f64,
     /// Extra calls in each window that all fronts share beside the ratio.
@@ -106,7 +111,8 @@
                 }
                 event!(Info, "fronts-listed", fronts = self.fronts.len());
             }
-            FeedNews::Listed(SourceFeed::Configuration, items) | FeedNews::Changed(items) => {
+            FeedNews::Listed(SourceFeed::Configuration | SourceFeed::Held, items)
+            | FeedNews::Changed(items) => {
                 for item in items.items {
                     self.take_item(item);
                 }
@@ -167,6 +173,15 @@
                 event!(Info, "front-gone", vm = vm);
                 self.fronts.remove(&vm);
             }
+            SourceItem::Held(content) => {
+                event!(Warn, "content-held", content = content.0);
+                self.parts.guard.heard_held(content);
+                // The channel closes only when the daemon ends.
+                let _ = self.parts.held.try_send(content);
+            }
+            SourceItem::HeldGone(content) => {
+                event!(Info, "content-released", content = content.0);
+            }
             SourceItem::Unreadable { feed, name, cause } => {
                 event!(
                     Warn,
--- a/crates/front/src/door.rs
+++ b/crates/front/src/door.rs
@@ -1,6 +1,7 @@
 //! The callers' port: reads a request, finds its route, and answers it.
 
 use crate::answer::{InvalidReason, RefusedAnswer, RoutedAnswer};
+use crate::crash_guard::content_of;
 use crate::fan_out::{self, FanOutParts, FanRequest};
 use crate::ports::{RequestHead, WireDialect};
 use crate::server_call::CallOrder;
@@ -9,7 +10,7 @@
 use camphorway_daemon::http_port::{BodyError, HttpHandler, read_body};
 use camphorway_daemon::sync::lock;
 use camphorway_model::{RefusalReason, RequestRoute, RouteTable, RouteTarget, ServiceName};
-use camphorway_policy::{UnsentToken, WeightedSplit};
+use camphorway_policy::{ContentHash, ContentVerdict, UnsentToken, WeightedSplit};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
@@ -23,6 +24,13 @@
 /// When a caller may ask a daemon again that has no configuration yet.
 const START_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// What the quarantine knows of a request's content.
+#[derive(Clone, Copy, Debug)]
+struct RequestContent {
+    hash: ContentHash,
+    is_suspect: bool,
+}
+
 /// Serves callers.
 #[derive(Debug)]
 pub struct FrontDoor<Wire> {
@@ -86,7 +94,19 @@
                 return RoutedAnswer::Invalid(invalid_body(error));
             }
         };
-        let (answer, extra_calls) = self.fan_out(&route, head, body, began).await;
+        let content = content_of(&head, &body);
+        let verdict = self.parts.guard.verdict(content);
+        if let ContentVerdict::Held(left) = verdict {
+            let token = UnsentToken::for_new_request();
+            event!(Warn, "request-held", request = id, content = content.0);
+            let proof = token.refuse(RefusalReason::Quarantined);
+            return RoutedAnswer::Refused(RefusedAnswer::new(&proof, left));
+        }
+        let content = RequestContent {
+            hash: content,
+            is_suspect: verdict == ContentVerdict::SuspectAlone,
+        };
+        let (answer, extra_calls) = self.fan_out(&route, head, body, content, began).await;
         self.log(&id, &route, &routes, &answer, extra_calls, began);
         answer
     }
@@ -96,6 +116,7 @@
         route: &Arc<RequestRoute>,
         head: RequestHead,
         body: Bytes,
+        content: RequestContent,
         began: Instant,
     ) -> (RoutedAnswer, usize) {
         let time_limit = head
@@ -115,6 +136,8 @@
             route: Arc::clone(route),
             services,
             gather,
+            content: content.hash,
+            is_suspect: content.is_suspect,
             began,
             left,
         };
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -12,11 +12,12 @@
 pub use times::CallTimes;
 
 use crate::answer::{FailReason, MergedAnswer, RefusedAnswer, RoutedAnswer};
+use crate::crash_guard::CrashGuard;
 use crate::fan_out::part::{PartProgress, RunningCall};
 use crate::metrics::FrontMetrics;
 use crate::ports::WireDialect;
 use crate::server_call::{
-    CallEnd, CallOrder, CallTools, MOST_IDLE, NotRunCause, ONCE_MOST_IDLE, UnsentCause,
+    CallEnd, CallOrder, CallTools, LostCause, MOST_IDLE, NotRunCause, ONCE_MOST_IDLE, UnsentCause,
 };
 use crate::server_line::{AcquireError, LinePermit, ServiceLines};
 use crate::view::SharedFront;
@@ -25,7 +26,7 @@
 use camphorway_daemon::event;
 use camphorway_daemon::metrics::CallPurpose;
 use camphorway_model::{GatherRule, RefusalReason, RequestRoute, ServiceName};
-use camphorway_policy::{DispatchLedger, UnsentToken, greatest_records};
+use camphorway_policy::{ContentHash, DispatchLedger, UnsentToken, greatest_records};
 use futures_lite::FutureExt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -58,6 +59,8 @@
     pub tools: CallTools<Wire>,
     /// How long calls take.
     pub times: Arc<CallTimes>,
+    /// Keeps content that crashes servers away from them.
+    pub guard: Arc<CrashGuard>,
     /// What extra calls may be made.
     pub budgets: CallBudgets,
     /// The daemon's metrics.
@@ -77,6 +80,10 @@
     pub services: Vec<ServiceName>,
     /// How parts are merged; none passes the one answer on.
     pub gather: Option<GatherRule>,
+    /// The request's content.
+    pub content: ContentHash,
+    /// Whether the content may have crashed a server: then no part is asked twice.
+    pub is_suspect: bool,
     /// When the request arrived.
     pub began: Instant,
     /// Cancelled when the caller leaves.
@@ -375,13 +382,20 @@
         let left = self.request.left.clone();
         let sender = self.sender.clone();
         let route = Arc::clone(route);
+        let (content, is_suspect) = (self.request.content, self.request.is_suspect);
         self.parts.tools.spawner.spawn(async move {
             let started = permit.started();
             let end = parts.tools.call(&order, permit, &left).await;
             let took = parts.tools.clock.now().saturating_duration_since(started);
+            if let CallEnd::Lost(LostCause::Broken) = &end {
+                parts.guard.connection_lost(content, &line);
+            }
             if let CallEnd::Answered(answer) = &end
                 && answer.status.is_success()
             {
+                if is_suspect {
+                    parts.guard.succeeded(content);
+                }
                 parts.times.record(&route, distance, took);
             } else {
                 event!(
@@ -432,7 +446,8 @@
             }
             CallEnd::Lost(_) => {}
         }
-        if self.progress[part].may_retry(&self.request.route, MOST_REJECTED) {
+        let may_repeat = !self.request.is_suspect || self.progress[part].has_not_run();
+        if may_repeat && self.progress[part].may_retry(&self.request.route, MOST_REJECTED) {
             let purpose = self.progress[part].next_purpose();
             self.start(part, purpose);
         }
@@ -446,7 +461,7 @@
             .filter(|part| self.progress[*part].take_late(&self.parts.tools.news, now))
             .collect();
         for part in due {
-            if !self.progress[part].may_hedge(&self.request.route) {
+            if self.request.is_suspect || !self.progress[part].may_hedge(&self.request.route) {
                 continue;
             }
             let calls = self.progress[part].calls.len();
--- a/crates/front/src/fan_out/part.rs
+++ b/crates/front/src/fan_out/part.rs
@@ -108,11 +108,16 @@
     /// Whether another server may be asked after one has failed.
     pub(super) fn may_retry(&self, route: &RequestRoute, most_rejected: usize) -> bool {
         let is_running = self.calls.iter().any(|call| call.is_running);
-        let may_repeat = route.idempotent || self.ran() == 0;
+        let may_repeat = route.idempotent || self.has_not_run();
         let has_room = self.ran() < route.attempts && self.rejected <= most_rejected;
         self.answer.is_none() && !is_running && !self.is_waiting && may_repeat && has_room
     }
 
+    /// Whether no call ran, nor may have.
+    pub(super) fn has_not_run(&self) -> bool {
+        self.ran() == 0
+    }
+
     /// Calls that ran, or may have.
     fn ran(&self) -> usize {
         let arrived = self.calls.iter().filter(|call| call.is_arrived).count();
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -1,6 +1,7 @@
 //! Puts a front together, runs it, and stops it gracefully.
 
 use crate::control::{ControlParts, FrontControl};
+use crate::crash_guard::CrashGuard;
 use crate::door::FrontDoor;
 use crate::fan_out::{CallBudgets, CallTimes, FanOutParts};
 use crate::feed::{FeedFollower, FeedParts, FeedTimes};
@@ -29,7 +30,7 @@
 use camphorway_daemon::settings::LimitSettings;
 use camphorway_daemon::task::TaskSpawner;
 use camphorway_model::FrontRecord;
-use camphorway_policy::{FeedOrder, NoticeRoute};
+use camphorway_policy::{ContentHash, FeedOrder, NoticeRoute};
 use futures_lite::{FutureExt, StreamExt};
 use quinn::Connection;
 use std::net::UdpSocket;
@@ -76,6 +77,7 @@
     knowledge: Arc<FeedKnowledge>,
     members: Arc<Mutex<Vec<FrontRecord>>>,
     news: Arc<StallNews>,
+    guard: Arc<CrashGuard>,
 }
 
 /// Runs a front until a signal ends it; `make_source` builds the adapter of the
@@ -111,6 +113,7 @@
     let links = PeerLinks::open(socket, tls, &spawner, &clock, sink).map_err(StartError::Thread)?;
     let view = Arc::default();
     let (news, notices) = StallNews::new(Arc::clone(&view));
+    let (guard, held_here) = CrashGuard::new(&clock, &spawner);
     let own = FrontRecord {
         vm: settings.vm.clone(),
         domain: settings.domain.clone(),
@@ -133,12 +136,13 @@
         knowledge: Arc::default(),
         members: Arc::default(),
         news: Arc::new(news),
+        guard: Arc::new(guard),
         view,
     };
     core.start_peers(adopted, notices);
     core.start_callers(callers);
     core.start_readiness(readiness);
-    let control = core.start_control()?;
+    let control = core.start_control(held_here)?;
     event!(
         Info,
         "started",
@@ -171,6 +175,7 @@
                 news: Arc::clone(&self.news),
             },
             times: Arc::new(CallTimes::default()),
+            guard: Arc::clone(&self.guard),
             budgets: CallBudgets::new(self.settings.budget),
             metrics: Arc::clone(&self.metrics),
             answer_margin: self.settings.answer_margin,
@@ -224,7 +229,10 @@
         self.spawner.spawn(teller.run());
     }
 
-    fn start_control(&self) -> Result<JoinHandle<()>, StartError> {
+    fn start_control(
+        &self,
+        held_here: Receiver<ContentHash>,
+    ) -> Result<JoinHandle<()>, StartError> {
         let (news, inbox) = async_channel::unbounded();
         let members = Arc::clone(&self.members);
         let parts = Arc::new(FeedParts {
@@ -246,6 +254,9 @@
         let configuration = follower(SourceFeed::Configuration, settings.in_force);
         let servers = follower(SourceFeed::Servers, settings.leave);
         let fronts = follower(SourceFeed::Fronts, FRONTS_BOUND);
+        let held_feed = follower(SourceFeed::Held, FRONTS_BOUND);
+        let order = FeedOrder::new(&settings.vm, &settings.domain);
+        let (held, heard) = async_channel::unbounded();
         let own = self.own.clone();
         let control = FrontControl::new(ControlParts {
             view: Arc::clone(&self.view),
@@ -256,6 +267,8 @@
             },
             members,
             pinned: Arc::clone(&self.pinned),
+            guard: Arc::clone(&self.guard),
+            held,
             own_allowance: settings.budget.allowance,
             shared_allowance: settings.shared_allowance,
             clock: self.clock.clone(),
@@ -269,6 +282,11 @@
                 let executor = LocalExecutor::new();
                 executor.spawn(configuration.run()).detach();
                 executor.spawn(servers.run()).detach();
+                executor.spawn(held_feed.run()).detach();
+                let told = membership::tell_held(Arc::clone(&parts), held_here);
+                executor.spawn(told).detach();
+                let released = membership::release_held(Arc::clone(&parts), order, heard);
+                executor.spawn(released).detach();
                 executor.spawn(membership::run(parts, own, fronts)).detach();
                 block_on(executor.run(control.run()));
             })
--- a/crates/front/src/knowledge.rs
+++ b/crates/front/src/knowledge.rs
@@ -137,17 +137,17 @@
     fn apply(&mut self, items: &SourceItems, confirmed: Instant) {
         for item in &items.items {
             match item {
-                SourceItem::ServerGone(name) => {
-                    self.items.remove(name.as_str());
+                // What can't be read, nobody can use, and its reader has logged it.
+                SourceItem::ServerGone(_)
+                | SourceItem::FrontGone(_)
+                | SourceItem::HeldGone(_)
+                | SourceItem::Unreadable { .. } => {
+                    self.items.remove(&item.name());
                 }
-                SourceItem::FrontGone(vm) => {
-                    self.items.remove(vm.as_str());
-                }
-                // Nobody can use it, and the reader has logged it.
-                SourceItem::Unreadable { name, .. } => {
-                    self.items.remove(name);
-                }
-                SourceItem::Configuration(_) | SourceItem::Server(_) | SourceItem::Front(_) => {
+                SourceItem::Configuration(_)
+                | SourceItem::Server(_)
+                | SourceItem::Front(_)
+                | SourceItem::Held(_) => {
                     self.items.insert(item.name(), item.clone());
                 }
             }
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod answer;
 pub mod control;
+pub mod crash_guard;
 pub mod door;
 pub mod fan_out;
 pub mod feed;
--- a/crates/front/src/membership.rs
+++ b/crates/front/src/membership.rs
@@ -1,15 +1,23 @@
-//! Makes this front known to the others, and follows who they are.
+//! Makes this front and what it holds known to the others, and follows who they
+//! are.
 
 use crate::feed::{FeedFollower, FeedParts};
 use crate::ports::{SourceError, TierSource};
+use async_channel::Receiver;
 use camphorway_daemon::event;
+use camphorway_daemon::sync::lock;
 use camphorway_model::FrontRecord;
+use camphorway_policy::{ContentHash, FeedOrder};
+use futures_lite::FutureExt;
+use std::collections::VecDeque;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// All fronts may start at once and register at about the same time: who
 /// follows whom is settled after that, not at each registration.
 const REGISTERING_TIME: Duration = Duration::from_millis(1_200);
+/// Held content stands in the store for this time, longer than it is refused.
+const RELEASE_AFTER: Duration = Duration::from_secs(90);
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// Registers this front, then follows the others until stopped.
@@ -43,6 +51,65 @@
     }
 }
 
+/// Writes content that this front holds to the store, until stopped.
+pub async fn tell_held<Source>(parts: Arc<FeedParts<Source>>, held: Receiver<ContentHash>)
+where
+    Source: TierSource,
+{
+    while let Ok(content) = held.recv().await {
+        match parts.source.hold(content).await {
+            Ok(()) => event!(Info, "content-told", content = content.0),
+            Err(error) => {
+                event!(Warn, "content-not-told", content = content.0, error = error);
+            }
+        }
+    }
+}
+
+/// Deletes held content from the store when its time is over; the first front
+/// of each failure domain does that, whoever wrote it.
+pub async fn release_held<Source>(
+    parts: Arc<FeedParts<Source>>,
+    order: FeedOrder,
+    held: Receiver<ContentHash>,
+) where
+    Source: TierSource,
+{
+    let mut waiting: VecDeque<(Instant, ContentHash)> = VecDeque::new();
+    loop {
+        let next = waiting.front().map(|(at, _)| *at);
+        let due = async {
+            match next {
+                Some(at) => parts.clock.sleep_until(at).await,
+                None => std::future::pending().await,
+            }
+            Ok(None)
+        };
+        let heard = async { held.recv().await.map(Some) };
+        match heard.or(due).await {
+            // The daemon ends.
+            Err(_) => return,
+            Ok(Some(content)) => {
+                waiting.push_back((parts.clock.now() + RELEASE_AFTER, content));
+            }
+            Ok(None) => {
+                let over = waiting.pop_front();
+                let is_first = order.is_first(&lock(&parts.members));
+                if let Some((_, content)) = over.filter(|_| is_first)
+                    && let Err(error) = parts.source.release(content).await
+                {
+                    event!(
+                        Warn,
+                        "content-not-released",
+                        content = content.0,
+                        error = error
+                    );
+                }
+            }
+        }
+    }
+}
+
 /// Takes this front's registration back.
 pub async fn deregister<Source>(source: &Source, own: &FrontRecord)
 where
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -4,6 +4,7 @@
 use crate::answer::RoutedAnswer;
 use bytes::Bytes;
 use camphorway_model::{FrontRecord, RouteTable, ServerName, ServerRecord, VmName};
+use camphorway_policy::ContentHash;
 use derive_more::Display;
 use http_body_util::Full;
 use hyper::http::{request, response};
@@ -119,11 +120,14 @@
     /// Fronts.
     #[display("fronts")]
     Fronts,
+    /// Content that crashes servers.
+    #[display("held")]
+    Held,
 }
 
 impl SourceFeed {
     /// All feeds.
-    pub const ALL: [Self; 3] = [Self::Configuration, Self::Servers, Self::Fronts];
+    pub const ALL: [Self; 4] = [Self::Configuration, Self::Servers, Self::Fronts, Self::Held];
 }
 
 /// One object of a feed.
@@ -139,6 +143,10 @@
     Front(FrontRecord),
     /// A front is gone.
     FrontGone(VmName),
+    /// Content that crashes servers.
+    Held(ContentHash),
+    /// Content is no longer held.
+    HeldGone(ContentHash),
     /// An object that can't be read; the rest holds.
     Unreadable {
         /// Its feed.
@@ -160,6 +168,7 @@
             Self::ServerGone(name) => name.to_string(),
             Self::Front(record) => record.vm.to_string(),
             Self::FrontGone(vm) => vm.to_string(),
+            Self::Held(content) | Self::HeldGone(content) => content.0.to_string(),
             Self::Unreadable { name, .. } => name.clone(),
         }
     }
@@ -219,4 +228,11 @@
         &self,
         front: &FrontRecord,
     ) -> impl Future<Output = Result<(), SourceError>> + Send;
+
+    /// Lets all fronts know content that crashes servers.
+    fn hold(&self, content: ContentHash) -> impl Future<Output = Result<(), SourceError>> + Send;
+
+    /// Forgets such content.
+    fn release(&self, content: ContentHash)
+    -> impl Future<Output = Result<(), SourceError>> + Send;
 }
--- a/crates/front/src/server_line.rs
+++ b/crates/front/src/server_line.rs
@@ -153,6 +153,17 @@
         }
     }
 
+    /// Calls running now.
+    pub fn outstanding(&self) -> u32 {
+        self.lock().stats.outstanding()
+    }
+
+    /// Whether an idle connection is still open.
+    pub fn has_open_connection(&self) -> bool {
+        let state = self.lock();
+        state.idle.iter().any(|idle| !idle.sender.is_closed())
+    }
+
     /// Keeps a connection for the next call.
     pub fn put_idle(&self, sender: RequestSender, idle_limit: Option<Duration>) {
         if sender.is_closed() {
--- a/crates/standins/src/routed/object_store.rs
+++ b/crates/standins/src/routed/object_store.rs
@@ -156,10 +156,39 @@
             let wait = Duration::from_millis(wait.unwrap_or(0)).min(LONGEST_WAIT);
             return self.watch(kind, revision, wait);
         }
-        Ok(Some((
-            200,
-            self.list(kind, query.get("after").unwrap_or(&"")),
-        )))
+        if !request.first_line.starts_with("GET") {
+            return Ok(Some(self.write(request, kind)));
+        }
+        let after = query.get("after").unwrap_or(&"");
+        Ok(Some((200, self.list(kind, after))))
+    }
+
+    /// POST creates, PUT replaces, DELETE removes.
+    fn write(&self, request: &HttpText, path: &str) -> (u16, Value) {
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        let own_name = body["meta"]["name"].as_str().unwrap_or_default();
+        let (kind, name) = path.split_once('/').unwrap_or((path, own_name));
+        let method = request.first_line.split(' ').next();
+        match (method, self.has(kind, name)) {
+            (Some("POST"), true) => return (409, body),
+            (Some("PUT" | "DELETE"), false) => return (404, Value::Null),
+            (Some("DELETE"), true) => self.remove(kind, name),
+            _ => self.put(kind, name, &body["spec"]),
+        }
+        (200, body)
+    }
+
+    /// Whether there is such an object.
+    pub fn has(&self, kind: &str, name: &str) -> bool {
+        let key = (kind.to_owned(), name.to_owned());
+        self.lock().objects.contains_key(&key)
+    }
+
+    /// How many objects of a kind there are.
+    pub fn count(&self, kind: &str) -> usize {
+        let state = self.lock();
+        let of_kind = state.objects.keys().filter(|(other, _)| other == kind);
+        of_kind.count()
     }
 
     /// None if the store works; else what it does with a call.
--- a/crates/standins/src/routed/signed_server.rs
+++ b/crates/standins/src/routed/signed_server.rs
@@ -8,6 +8,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// A request whose target holds this ends each server that runs it.
+pub const POISON: &str = "poison";
+
 /// How a server treats requests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ServerFault {
@@ -111,6 +114,11 @@
         Ok(server)
     }
 
+    /// Whether it has ended.
+    pub fn is_ended(&self) -> bool {
+        self.is_ended.load(Ordering::Relaxed)
+    }
+
     /// Sets how it treats requests.
     pub fn set_fault(&self, fault: ServerFault) {
         self.lock().fault = fault;
@@ -189,7 +197,7 @@
             return Ok(true);
         }
         self.note(request, true);
-        if fault == ServerFault::Crash {
+        if fault == ServerFault::Crash || request.second_word().contains(POISON) {
             self.end();
             return Ok(false);
         }
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod departures;
 mod faults;
+mod peers;
 mod store_faults;
 
 use camphorway_standins::routed::stage::RoutedStage;
