--- a/crates/daemon/src/command.rs
+++ b/crates/daemon/src/command.rs
@@ -61,8 +61,13 @@
         println!("{}: valid", command.settings.display());
         return ExitCode::SUCCESS;
     }
-    event::start(level(&settings));
-    match run(settings) {
+    if let Err(cause) = event::start(level(&settings)) {
+        eprintln!("cannot start the log: {cause}");
+        return ExitCode::from(EXIT_START);
+    }
+    let ended = run(settings);
+    event::finish();
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
--- a/crates/daemon/src/event.rs
+++ b/crates/daemon/src/event.rs
@@ -1,8 +1,17 @@
 //! Log lines: one line of key=value pairs for each event.
 //!
-//! `simplelog` writes whole lines; the macro here builds the pairs.
+//! `simplelog` writes whole lines; the macro here builds the pairs, and
+//! [`crate::log_sink`] bounds their number.
 
+use crate::log_sink::{LineQueue, LineWriter, start_writer};
 use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
+
+/// Longest time that the last lines may take when the process ends.
+const LAST_LINES: Duration = Duration::from_millis(150);
+
+static QUEUE: OnceLock<Arc<LineQueue>> = OnceLock::new();
 
 /// Logs an event: `event!(Info, "request-done", id = request, outcome = outcome)`.
 #[macro_export]
@@ -36,8 +45,11 @@
     line
 }
 
-/// Sends log lines of `level` and above to standard error.
-pub fn start(level: LevelFilter) {
+/// Sends log lines of `level` and above to standard output.
+///
+/// # Errors
+/// Returns the system's error if the thread that writes can't be started.
+pub fn start(level: LevelFilter) -> std::io::Result<()> {
     let config = ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_thread_level(LevelFilter::Off)
@@ -48,6 +60,16 @@
         .add_filter_ignore_str("polling")
         .add_filter_ignore_str("async_io")
         .build();
+    let queue = QUEUE.get_or_init(|| LineQueue::new(Instant::now()));
+    start_writer(queue)?;
     // A second call, as in a test with several daemons, keeps the first logger.
-    let _ = WriteLogger::init(level, config, std::io::stderr());
+    let _ = WriteLogger::init(level, config, LineWriter::new(queue));
+    Ok(())
+}
+
+/// Waits until the lines logged so far are written, for a short time.
+pub fn finish() {
+    if let Some(queue) = QUEUE.get() {
+        queue.flush(LAST_LINES);
+    }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod holder;
 pub mod http_client;
 pub mod http_port;
+pub mod log_sink;
 pub mod metrics;
 pub mod peer;
 pub mod settings;
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -121,6 +121,15 @@
         }
     }
 
+    /// Whether it is a success that lacks nothing.
+    pub fn is_whole(&self) -> bool {
+        match self {
+            Self::Passed(answer) => answer.status.is_success(),
+            Self::Merged(merged) => merged.missing == 0,
+            Self::Refused(_) | Self::Failed(_) | Self::Invalid(_) => false,
+        }
+    }
+
     /// The reason of a refusal or failure, for logs.
     pub fn reason(&self) -> String {
         match self {
--- a/crates/front/src/door.rs
+++ b/crates/front/src/door.rs
@@ -3,7 +3,7 @@
 use crate::answer::{InvalidReason, RefusedAnswer, RoutedAnswer};
 use crate::crash_guard::content_of;
 use crate::fan_out::{self, FanOutParts, FanRequest};
-use crate::ports::{RequestHead, WireDialect};
+use crate::ports::{RequestHead, SourceFeed, WireDialect};
 use crate::server_call::CallOrder;
 use bytes::Bytes;
 use camphorway_daemon::event;
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
+use log::Level;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -187,18 +188,35 @@
             .saturating_duration_since(began);
         let priority = route.priority.to_string();
         self.parts.metrics.answered(&priority, answer, took);
-        event!(
-            Info,
-            "request-done",
-            request = id,
-            route = route.name,
-            version = routes.version(),
-            outcome = answer.outcome(),
-            reason = answer.reason(),
-            extra = extra_calls,
-            in_objective = took <= route.objective,
-            took_us = took.as_micros()
-        );
+        let is_good = took <= route.objective && answer.is_whole();
+        let now = self.parts.tools.clock.now();
+        let age = |feed| match self.parts.knowledge.age(feed, now) {
+            Some(age) => age.as_millis().to_string(),
+            None => "none".to_owned(),
+        };
+        // Requests that went wrong are kept where there are too many lines.
+        let level = if is_good { Level::Info } else { Level::Warn };
+        if log::log_enabled!(level) {
+            let pairs: [(&str, &dyn std::fmt::Display); 11] = [
+                ("request", &id),
+                ("route", &route.name),
+                ("priority", &route.priority),
+                ("version", &routes.version()),
+                ("version_age_ms", &age(SourceFeed::Configuration)),
+                ("servers_age_ms", &age(SourceFeed::Servers)),
+                ("outcome", &answer.outcome()),
+                ("reason", &answer.reason()),
+                ("extra", &extra_calls),
+                ("objective_ms", &route.objective.as_millis()),
+                ("took_us", &took.as_micros()),
+            ];
+            let line = pairs
+                .iter()
+                .fold(String::from("event=request-done"), |line, (key, value)| {
+                    event::with_pair(line, key, value)
+                });
+            log::log!(level, "{line}");
+        }
     }
 }
 
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -14,6 +14,7 @@
 use crate::answer::{FailReason, MergedAnswer, RefusedAnswer, RoutedAnswer};
 use crate::crash_guard::CrashGuard;
 use crate::fan_out::part::{PartProgress, RunningCall};
+use crate::knowledge::FeedKnowledge;
 use crate::metrics::FrontMetrics;
 use crate::ports::WireDialect;
 use crate::server_call::{
@@ -61,6 +62,8 @@
     pub times: Arc<CallTimes>,
     /// Keeps content that crashes servers away from them.
     pub guard: Arc<CrashGuard>,
+    /// How old the knowledge of routes and servers is.
+    pub knowledge: Arc<FeedKnowledge>,
     /// What extra calls may be made.
     pub budgets: CallBudgets,
     /// The daemon's metrics.
@@ -492,6 +495,9 @@
         }
         let bodies = answers.iter().map(|answer| answer.body.as_ref());
         let signatures = answers.iter().filter_map(|answer| answer.signature.clone());
+        if answers.len() < self.progress.len() {
+            self.log_missing("parts-missing");
+        }
         Some(RoutedAnswer::Merged(MergedAnswer {
             body: Bytes::from(greatest_records(bodies, rule.top_records)),
             signatures: signatures.collect(),
@@ -505,18 +511,27 @@
         Some(RoutedAnswer::Passed(answer))
     }
 
-    /// The answer to a request that has none: a refusal only if nothing ran.
-    fn fail(self) -> RoutedAnswer {
-        let is_late = self.now() >= self.deadline;
-        let few = self.request.gather.is_some();
-        let causes: Vec<&str> = self.progress.iter().map(|part| part.last).collect();
+    /// Names the parts without an answer and what happened to each last.
+    fn log_missing(&self, name: &str) {
+        let missing = self.progress.iter().filter(|part| part.answer.is_none());
+        let causes: Vec<String> = missing
+            .map(|part| format!("{}:{}", part.service, part.last))
+            .collect();
         event!(
-            Info,
-            "request-without-answer",
+            Warn,
+            "parts-without-answer",
             request = self.order.head.id,
             route = self.request.route.name,
+            step = name,
             parts = causes.join(",")
         );
+    }
+
+    /// The answer to a request that has none: a refusal only if nothing ran.
+    fn fail(self) -> RoutedAnswer {
+        let is_late = self.now() >= self.deadline;
+        let few = self.request.gather.is_some();
+        self.log_missing("request-without-answer");
         let retry_after = (self.request.route.objective / 4).max(LEAST_RETRY_AFTER);
         let reason = if is_late {
             RefusalReason::Deadline
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -176,6 +176,7 @@
             },
             times: Arc::new(CallTimes::default()),
             guard: Arc::clone(&self.guard),
+            knowledge: Arc::clone(&self.knowledge),
             budgets: CallBudgets::new(self.settings.budget),
             metrics: Arc::clone(&self.metrics),
             answer_margin: self.settings.answer_margin,
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -3,6 +3,7 @@
 use crate::answer::RoutedAnswer;
 use crate::ports::SourceFeed;
 use crate::server_call::CallEnd;
+use camphorway_daemon::log_sink;
 use camphorway_daemon::metrics::CallPurpose;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
@@ -23,6 +24,7 @@
     pub budget_refusals: IntCounter,
     /// The version of the configuration in force.
     pub version: IntGauge,
+    log_lines_dropped: IntGauge,
     /// Requests being answered now.
     pub running: IntGauge,
 }
@@ -75,6 +77,7 @@
             ),
             budget_refusals: refusals,
             version: gauge("front_configuration_version", "Version in force"),
+            log_lines_dropped: gauge("front_log_lines_dropped", "Log lines dropped"),
             running: gauge("front_requests_running", "Requests being answered"),
             registry,
         }
@@ -107,6 +110,7 @@
 
     /// All metrics as text.
     pub fn text(&self) -> String {
+        self.log_lines_dropped.set(log_sink::dropped() as i64);
         let mut buffer = Vec::new();
         if let Err(cause) = TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
             return format!("# not encoded: {cause}\n");
--- a/crates/front/src/server_line.rs
+++ b/crates/front/src/server_line.rs
@@ -2,6 +2,7 @@
 //! connections, and who waits for one.
 
 use camphorway_daemon::clock::DaemonClock;
+use camphorway_daemon::event;
 use camphorway_daemon::http_client::RequestSender;
 use camphorway_daemon::sync::lock;
 use camphorway_model::{FailureDomain, ServerName, ServerRecord};
@@ -139,7 +140,11 @@
     /// A call has taken longer than is usual; whether that is news.
     pub fn note_stalled(&self) -> bool {
         let now = self.clock.now();
-        self.lock().stats.stalled(now)
+        let is_news = self.lock().stats.stalled(now);
+        if is_news {
+            event!(Info, "server-stalled", server = self.name(), seen = "here");
+        }
+        is_news
     }
 
     /// Another front has seen that the server stalls, or that it does no longer.
@@ -441,7 +446,21 @@
         }
         let now = self.line.clock.now();
         let took = now.saturating_duration_since(self.started);
-        let is_over = self.line.lock().stats.ended(self.outcome, took, now);
+        let mut state = self.line.lock();
+        let was_closed = state.stats.is_closed(now);
+        let is_over = state.stats.ended(self.outcome, took, now);
+        let is_closed = state.stats.is_closed(now);
+        drop(state);
+        if was_closed != is_closed {
+            event!(
+                Warn,
+                "server-belief",
+                server = self.line.name(),
+                service = self.line.record.service,
+                closed = is_closed,
+                took_us = took.as_micros()
+            );
+        }
         self.shared.wake_one();
         is_over
     }
--- a/crates/operator/src/command.rs
+++ b/crates/operator/src/command.rs
@@ -5,6 +5,7 @@
 use crate::files::CheckedFiles;
 use crate::remote::RemoteAccess;
 use crate::status;
+use crate::story;
 use async_io::block_on;
 use camphorway_model::Generation;
 use clap::{Args, Parser, Subcommand};
@@ -99,6 +100,15 @@
         #[arg(long)]
         kind: Option<String>,
     },
+    /// Tell a request's story from log files of all processes.
+    Story {
+        /// The request's id.
+        #[arg(long)]
+        request: String,
+        /// The log files.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
 }
 
 /// What a command prints: for people, and as JSON.
@@ -154,6 +164,7 @@
                 json: json!(lines),
             })
         }
+        OperatorAction::Story { request, files } => tell_story(request, files),
         OperatorAction::Dump { admin } => show(*admin, "/state").await,
         OperatorAction::Explain {
             admin,
@@ -171,6 +182,19 @@
     }
 }
 
+fn tell_story(request: &str, files: &[PathBuf]) -> Result<Printed, OperatorError> {
+    let lines = story::read(files, request)?;
+    let text = if lines.is_empty() {
+        format!("no line names request {request}")
+    } else {
+        story::to_text(&lines)
+    };
+    Ok(Printed {
+        text,
+        json: story::to_json(&lines),
+    })
+}
+
 fn check(files: &[PathBuf]) -> Result<Printed, OperatorError> {
     let checked = CheckedFiles::read(files)?;
     let [services, servers, rules] = checked.counts;
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,6 +1,6 @@
 //! The operators' command line.
 //!
-//! `check` works offline. `diff` and `apply` talk to the platform's store,
+//! `check` and `story` work offline. `diff` and `apply` talk to the platform's store,
 //! `status`, `dump` and `explain` to daemons' admin addresses.
 
 pub mod apply;
@@ -9,3 +9,4 @@
 pub mod files;
 pub mod remote;
 pub mod status;
+pub mod story;
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -248,7 +248,8 @@
         self.stalled_until.is_some_and(|until| now < until)
     }
 
-    fn is_closed(&self, now: Instant) -> bool {
+    /// Whether the server counts as unreachable.
+    pub fn is_closed(&self, now: Instant) -> bool {
         self.closed_until.is_some_and(|until| now < until)
     }
 
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -338,7 +338,7 @@
             .arg("--settings")
             .arg(&daemon.settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(file.try_clone()?)
             .stderr(file)
             .spawn()?;
         daemon.process = Some(FleetProcess::new(child, log));
--- a/crates/standins/src/fleet/process.rs
+++ b/crates/standins/src/fleet/process.rs
@@ -64,6 +64,21 @@
         Ok(Self::new(child, log))
     }
 
+    /// Starts a program whose standard output is a pipe that nobody reads.
+    ///
+    /// # Errors
+    /// Returns the system's error.
+    pub fn spawn_unread(program: &Path, arguments: &[&str], directory: &Path) -> io::Result<Self> {
+        let log = directory.join(format!("process-{}.log", free_address().port()));
+        let child = Command::new(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(File::create(&log)?)
+            .spawn()?;
+        Ok(Self::new(child, log))
+    }
+
     /// Takes over a process that was just started.
     pub(super) fn new(child: Child, log: PathBuf) -> Self {
         started().push(Pid::from_child(&child));
@@ -91,7 +106,12 @@
         None
     }
 
-    /// What the process wrote to standard error.
+    /// The file that the process writes to.
+    pub fn log_path(&self) -> &Path {
+        &self.log
+    }
+
+    /// What the process wrote to standard output and error.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
--- a/crates/standins/src/routed/stage.rs
+++ b/crates/standins/src/routed/stage.rs
@@ -19,6 +19,8 @@
 const CALL_LIMIT: Duration = Duration::from_secs(10);
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
+type SpawnProgram = fn(&Path, &[&str], &Path) -> io::Result<FleetProcess>;
+
 /// A deployment.
 #[derive(Debug)]
 pub struct RoutedStage {
@@ -88,6 +90,18 @@
     /// # Errors
     /// Returns the system's error.
     pub fn add_front(&mut self, domain: &str) -> io::Result<()> {
+        self.add(domain, FleetProcess::spawn)
+    }
+
+    /// Starts one more front whose output nobody reads.
+    ///
+    /// # Errors
+    /// Returns the system's error.
+    pub fn add_unread_front(&mut self, domain: &str) -> io::Result<()> {
+        self.add(domain, FleetProcess::spawn_unread)
+    }
+
+    fn add(&mut self, domain: &str, spawn: SpawnProgram) -> io::Result<()> {
         let (callers, readiness) = (free_address(), free_address());
         let settings = self.directory.join(format!("front-{}.ini", callers.port()));
         let mut text = format!(
@@ -104,7 +118,7 @@
         }
         fs::write(&settings, text)?;
         let arguments = ["--front", "--settings", &settings.display().to_string()];
-        let process = FleetProcess::spawn(&self.binary, &arguments, &self.directory)?;
+        let process = spawn(&self.binary, &arguments, &self.directory)?;
         self.fronts.push(StageFront {
             process,
             callers,
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod departures;
 mod faults;
+mod logs;
 mod peers;
 mod store_faults;
 
--- /dev/null
+++ b/tests/all/front/logs.rs
@@ -0,0 +1,107 @@
+//! From a request's id to its cause, and logs that never hold up traffic.
+
+use super::{new_id, stage};
+use camphorway_standins::routed::object_store::StoreFault;
+use camphorway_standins::routed::signed_server::ServerFault;
+use camphorway_standins::routed::stage::RoutedStage;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+/// The story that the operators' command tells, without times and addresses.
+fn story(stage: &RoutedStage, id: &str) -> Vec<String> {
+    std::thread::sleep(Duration::from_millis(300));
+    let logs = stage.fronts.iter().map(|front| front.process.log_path());
+    let output = Command::new(env!("CARGO_BIN_EXE_camphorway"))
+        .args(["story", "--request", id])
+        .args(logs)
+        .output()
+        .expect("the command runs");
+    assert!(output.status.success(), "{output:?}");
+    let text = String::from_utf8(output.stdout).expect("text");
+    println!("{text}");
+    text.lines()
+        .map(|line| {
+            let pairs = line.split_once("event=").expect("an event").1;
+            let fixed = pairs.split(' ').filter(|pair| {
+                let changes = ["took_us", "version_age_ms", "servers_age_ms", "server="];
+                !changes.iter().any(|key| pair.starts_with(key))
+            });
+            fixed.collect::<Vec<_>>().join(" ")
+        })
+        .collect()
+}
+
+#[test]
+fn a_partial_answer_names_the_shard_that_is_missing_and_why() {
+    let stage = stage(3, 1);
+    for server in &stage.servers[2] {
+        server.end();
+    }
+    let id = new_id();
+    stage.ask(0, "GET", "/all/q", &id).expect("an answer");
+    insta::assert_snapshot!(story(&stage, &id).join("\n"), @r"
+    server-call-failed route=route-all- purpose=first end=connection-refused
+    server-call-failed route=route-all- purpose=first end=connection-refused
+    server-call-failed route=route-all- purpose=first end=connection-refused
+    parts-without-answer route=route-all- step=parts-missing parts=service2:all-tried
+    request-done route=route-all- priority=0 version=3 outcome=partial reason=missing-1 extra=0 objective_ms=200
+    ");
+}
+
+#[test]
+fn a_refusal_names_each_server_that_rejected() {
+    let stage = stage(1, 1);
+    for server in &stage.servers[0] {
+        server.set_fault(ServerFault::Reject);
+    }
+    let id = new_id();
+    stage.ask(0, "POST", "/once/x", &id).expect("an answer");
+    insta::assert_snapshot!(story(&stage, &id).join("\n"), @r"
+    server-call-failed route=route-once- purpose=first end=rejected
+    server-call-failed route=route-once- purpose=retry end=rejected
+    server-call-failed route=route-once- purpose=retry end=rejected
+    parts-without-answer route=route-once- step=request-without-answer parts=service0:rejected
+    request-done route=route-once- priority=0 version=3 outcome=refused reason=unavailable extra=2 objective_ms=200
+    ");
+}
+
+#[test]
+fn an_order_whose_answer_was_lost_shows_where() {
+    let stage = stage(1, 1);
+    stage.store.set_fault(StoreFault::Reset);
+    for server in &stage.servers[0] {
+        server.set_fault(ServerFault::LoseAnswer);
+    }
+    let id = new_id();
+    stage.ask(0, "POST", "/once/x", &id).expect("an answer");
+    insta::assert_snapshot!(story(&stage, &id).join("\n"), @r"
+    server-call-failed route=route-once- purpose=first end=connection-lost
+    parts-without-answer route=route-once- step=request-without-answer parts=service0:connection-lost
+    request-done route=route-once- priority=0 version=3 outcome=failed reason=lost extra=0 objective_ms=200
+    ");
+}
+
+#[test]
+fn a_log_that_nobody_reads_holds_up_no_request() {
+    let mut stage = stage(1, 0);
+    stage
+        .add_unread_front("a")
+        .expect("a front whose output is a full pipe");
+    stage.wait_ready().expect("it is ready");
+    let began = Instant::now();
+    for _ in 0..3_000 {
+        let answer = stage
+            .ask(0, "GET", "/nowhere/", &new_id())
+            .expect("an answer");
+        assert_eq!(answer.status(), 404);
+    }
+    let answer = stage.ask(0, "GET", "/s0/", &new_id()).expect("an answer");
+    assert_eq!(answer.status(), 200);
+    let took = began.elapsed();
+    assert!(took < Duration::from_secs(20), "{took:?}");
+    let metrics = stage.fronts[0].metrics().expect("metrics");
+    assert!(
+        !metrics.contains("front_log_lines_dropped 0"),
+        "lines were dropped and counted"
+    );
+}
