--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -5,13 +5,15 @@
 //! shards has a part for each, and the parts are merged.
 
 mod budgets;
+mod extra;
+mod finish;
 mod part;
 mod times;
 
 pub use budgets::CallBudgets;
 pub use times::CallTimes;
 
-use crate::answer::{FailReason, MergedAnswer, RefusedAnswer, RoutedAnswer};
+use crate::answer::RoutedAnswer;
 use crate::crash_guard::CrashGuard;
 use crate::fan_out::part::{PartProgress, RunningCall};
 use crate::knowledge::FeedKnowledge;
@@ -20,26 +22,18 @@
 use crate::server_call::{
     CallEnd, CallOrder, CallTools, LostCause, MOST_IDLE, NotRunCause, ONCE_MOST_IDLE, UnsentCause,
 };
-use crate::server_line::{AcquireError, LinePermit, ServiceLines};
+use crate::service_lines::{AcquireError, LinePermit, ServiceLines};
 use crate::view::SharedFront;
 use async_channel::{Receiver, Sender};
-use bytes::Bytes;
 use camphorway_daemon::event;
 use camphorway_daemon::metrics::CallPurpose;
-use camphorway_model::{GatherRule, RefusalReason, RequestRoute, ServiceName};
-use camphorway_policy::{ContentHash, DispatchLedger, UnsentToken, greatest_records};
+use camphorway_model::{GatherRule, RequestRoute, ServiceName};
+use camphorway_policy::{ContentHash, DispatchLedger, UnsentToken};
 use futures_lite::FutureExt;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
-/// The part of a budget, 0 to 1, that is left by extra calls without which the
-/// answer would still be a success.
-const OPTIONAL_RESERVE: f64 = 0.2;
-/// The part that is left by hedges that can still be made later.
-const EARLY_RESERVE: f64 = 0.6;
-/// The part that is left by hedges without which there may be no answer in time.
-const HEDGE_RESERVE: f64 = 0.1;
 /// A hedge takes this part of the objective; one that is made later than that
 /// before the answer is due would not be in it.
 const HEDGE_TIME: f64 = 0.4;
@@ -49,8 +43,6 @@
 const REPLY_MARGIN: Duration = Duration::from_millis(10);
 /// A call of a shard is given up after this many times the objective.
 const PATIENCE: u32 = 4;
-const LEAST_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// What fan-outs share.
 #[derive(Debug)]
 pub struct FanOutParts<Wire> {
@@ -292,62 +284,6 @@
         }
     }
 
-    /// Whether the budget lets a call go; first arrivals cost nothing.
-    fn may_send(
-        &mut self,
-        part: usize,
-        purpose: CallPurpose,
-        allowance: f64,
-        now: Instant,
-    ) -> bool {
-        if self.progress[part].has_no_arrival() {
-            return true;
-        }
-        let reserve = self.reserve(purpose, now);
-        let services = &self.request.services;
-        let allowed = self.parts.budgets.spend(services, allowance, reserve, now);
-        if allowed {
-            self.extra_calls += 1;
-        } else {
-            self.progress[part].last = "no-budget";
-            self.parts.metrics.budget_refusals.inc();
-            event!(
-                Debug,
-                "extra-call-refused",
-                request = self.order.head.id,
-                service = self.progress[part].service,
-                purpose = purpose,
-                reserve = reserve
-            );
-        }
-        allowed
-    }
-
-    /// How much of the budget an extra call leaves to others.
-    fn reserve(&self, purpose: CallPurpose, now: Instant) -> f64 {
-        let is_optional = match &self.request.gather {
-            Some(rule) => self.may_answer_without_one(rule),
-            None => false,
-        };
-        let is_hedge = purpose == CallPurpose::Hedge;
-        if is_hedge && now < self.last_chance {
-            EARLY_RESERVE
-        } else if is_optional {
-            OPTIONAL_RESERVE
-        } else if is_hedge {
-            HEDGE_RESERVE
-        } else {
-            0.0
-        }
-    }
-
-    /// Whether the answer is a success without the parts that are late or failed.
-    fn may_answer_without_one(&self, rule: &GatherRule) -> bool {
-        let is_in_doubt = |part: &&PartProgress| part.answer.is_none() && part.is_in_doubt;
-        let in_doubt = self.progress.iter().filter(is_in_doubt).count();
-        self.progress.len() - in_doubt >= rule.least_parts()
-    }
-
     /// Tries again when a server may have become free or known, or at `until`.
     fn wait_for_room(&mut self, part: usize, lines: &Arc<ServiceLines>, until: Instant) {
         self.progress[part].is_waiting = true;
@@ -480,76 +416,4 @@
             }
         }
     }
-
-    fn finish(mut self) -> RoutedAnswer {
-        let answer = match &self.request.gather {
-            Some(rule) => self.merge(rule),
-            None => self.pass(),
-        };
-        let Some(answer) = answer else {
-            return self.fail();
-        };
-        answer
-    }
-
-    fn merge(&self, rule: &GatherRule) -> Option<RoutedAnswer> {
-        let answers = self.progress.iter().filter_map(|part| part.answer.as_ref());
-        let answers: Vec<_> = answers.collect();
-        if answers.len() < rule.least_parts() {
-            return None;
-        }
-        let bodies = answers.iter().map(|answer| answer.body.as_ref());
-        let signatures = answers.iter().filter_map(|answer| answer.signature.clone());
-        if answers.len() < self.progress.len() {
-            self.log_missing("parts-missing");
-        }
-        Some(RoutedAnswer::Merged(MergedAnswer {
-            body: Bytes::from(greatest_records(bodies, rule.top_records)),
-            signatures: signatures.collect(),
-            missing: self.progress.len() - answers.len(),
-        }))
-    }
-
-    fn pass(&mut self) -> Option<RoutedAnswer> {
-        let part = self.progress.first_mut()?;
-        let answer = part.answer.take().or_else(|| part.failure.take())?;
-        Some(RoutedAnswer::Passed(answer))
-    }
-
-    /// Names the parts without an answer and what happened to each last.
-    fn log_missing(&self, name: &str) {
-        let missing = self.progress.iter().filter(|part| part.answer.is_none());
-        let causes: Vec<String> = missing
-            .map(|part| format!("{}:{}", part.service, part.last))
-            .collect();
-        event!(
-            Warn,
-            "parts-without-answer",
-            request = self.order.head.id,
-            route = self.request.route.name,
-            step = name,
-            parts = causes.join(",")
-        );
-    }
-
-    /// The answer to a request that has none: a refusal only if nothing ran.
-    fn fail(self) -> RoutedAnswer {
-        let is_late = self.now() >= self.deadline;
-        let few = self.request.gather.is_some();
-        self.log_missing("request-without-answer");
-        let retry_after = (self.request.route.objective / 4).max(LEAST_RETRY_AFTER);
-        let reason = if is_late {
-            RefusalReason::Deadline
-        } else {
-            RefusalReason::Unavailable
-        };
-        match self.ledger.close() {
-            Ok(token) => {
-                RoutedAnswer::Refused(RefusedAnswer::new(&token.refuse(reason), retry_after))
-            }
-            Err(_) if is_late => RoutedAnswer::Failed(FailReason::Timeout),
-            Err(_) if few => RoutedAnswer::Failed(FailReason::TooFewParts),
-            Err(_) => RoutedAnswer::Failed(FailReason::Lost),
-        }
-    }
 }
--- /dev/null
+++ b/crates/front/src/fan_out/finish.rs
@@ -0,0 +1,90 @@
+//! The answer that a fan-out comes to.
+
+use super::FanOut;
+use crate::answer::{FailReason, MergedAnswer, RefusedAnswer, RoutedAnswer};
+use crate::ports::WireDialect;
+use bytes::Bytes;
+use camphorway_daemon::event;
+use camphorway_model::{GatherRule, RefusalReason};
+use camphorway_policy::greatest_records;
+use std::time::Duration;
+
+/// A refused caller may come back after this time at the soonest.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+impl<Wire> FanOut<'_, Wire>
+where
+    Wire: WireDialect,
+{
+    pub(super) fn finish(mut self) -> RoutedAnswer {
+        let answer = match &self.request.gather {
+            Some(rule) => self.merge(rule),
+            None => self.pass(),
+        };
+        let Some(answer) = answer else {
+            return self.fail();
+        };
+        answer
+    }
+
+    fn merge(&self, rule: &GatherRule) -> Option<RoutedAnswer> {
+        let answers = self.progress.iter().filter_map(|part| part.answer.as_ref());
+        let answers: Vec<_> = answers.collect();
+        if answers.len() < rule.least_parts() {
+            return None;
+        }
+        let bodies = answers.iter().map(|answer| answer.body.as_ref());
+        let signatures = answers.iter().filter_map(|answer| answer.signature.clone());
+        if answers.len() < self.progress.len() {
+            self.log_missing("parts-missing");
+        }
+        Some(RoutedAnswer::Merged(MergedAnswer {
+            body: Bytes::from(greatest_records(bodies, rule.top_records)),
+            signatures: signatures.collect(),
+            missing: self.progress.len() - answers.len(),
+        }))
+    }
+
+    fn pass(&mut self) -> Option<RoutedAnswer> {
+        let part = self.progress.first_mut()?;
+        let answer = part.answer.take().or_else(|| part.failure.take())?;
+        Some(RoutedAnswer::Passed(answer))
+    }
+
+    /// Names the parts without an answer and what happened to each last.
+    fn log_missing(&self, name: &str) {
+        let missing = self.progress.iter().filter(|part| part.answer.is_none());
+        let causes: Vec<String> = missing
+            .map(|part| format!("{}:{}", part.service, part.last))
+            .collect();
+        event!(
+            Warn,
+            "parts-without-answer",
+            request = self.order.head.id,
+            route = self.request.route.name,
+            step = name,
+            parts = causes.join(",")
+        );
+    }
+
+    /// The answer to a request that has none: a refusal only if nothing ran.
+    fn fail(self) -> RoutedAnswer {
+        let is_late = self.now() >= self.deadline;
+        let few = self.request.gather.is_some();
+        self.log_missing("request-without-answer");
+        let retry_after = (self.request.route.objective / 4).max(LEAST_RETRY_AFTER);
+        let reason = if is_late {
+            RefusalReason::Deadline
+        } else {
+            RefusalReason::Unavailable
+        };
+        match self.ledger.close() {
+            Ok(token) => {
+                RoutedAnswer::Refused(RefusedAnswer::new(&token.refuse(reason), retry_after))
+            }
+            Err(_) if is_late => RoutedAnswer::Failed(FailReason::Timeout),
+            Err(_) if few => RoutedAnswer::Failed(FailReason::TooFewParts),
+            Err(_) => RoutedAnswer::Failed(FailReason::Lost),
+        }
+    }
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -4,7 +4,7 @@
 //! Routes and servers are learned from a store, through the ports in [`ports`].
 //! One thread follows the store and publishes a [`view`]; another carries
 //! traffic. A request is read by the [`door`], goes through the [`fan_out`], and
-//! reaches servers over [`server_line`]s.
+//! reaches servers chosen from [`service_lines`] by [`server_call`]s.
 
 pub mod answer;
 pub mod control;
@@ -21,6 +21,7 @@
 pub mod readiness_port;
 pub mod server_call;
 pub mod server_line;
+pub mod service_lines;
 pub mod settings;
 pub mod stall_news;
 pub mod view;
--- a/crates/front/src/server_call.rs
+++ b/crates/front/src/server_call.rs
@@ -3,7 +3,7 @@
 
 use crate::answer::ServerAnswer;
 use crate::ports::{ReplyHead, ReplyRun, RequestHead, ServerAsk, WireDialect};
-use crate::server_line::LinePermit;
+use crate::service_lines::LinePermit;
 use crate::stall_news::StallNews;
 use bytes::Bytes;
 use camphorway_daemon::clock::DaemonClock;
--- a/crates/front/src/view.rs
+++ b/crates/front/src/view.rs
@@ -1,7 +1,7 @@
 //! What the traffic thread knows: the routes in force and the servers of each
 //! service, replaced as a whole whenever the control thread learns something.
 
-use crate::server_line::ServiceLines;
+use crate::service_lines::ServiceLines;
 use arc_swap::ArcSwap;
 use camphorway_model::{RouteTable, ServiceName};
 use std::collections::HashMap;
--- /dev/null
+++ b/crates/front/tests/all/knowledge.rs
@@ -0,0 +1,57 @@
+//! What a front tells its peers of a feed.
+
+use camphorway_front::knowledge::{FeedAsk, FeedKnowledge, FeedReply};
+use camphorway_front::ports::{SourceFeed, SourceItem, SourceItems};
+use camphorway_model::ServerName;
+use std::time::{Duration, Instant};
+
+fn gone(name: &str, revision: u64) -> SourceItems {
+    SourceItems {
+        items: vec![SourceItem::ServerGone(ServerName::new(name))],
+        revision,
+    }
+}
+
+fn ask(after: Option<u64>) -> FeedAsk {
+    FeedAsk {
+        feed: SourceFeed::Servers,
+        after,
+        wait_ms: 0,
+    }
+}
+
+#[test]
+fn nothing_is_told_before_anything_is_known() {
+    let knowledge = FeedKnowledge::default();
+    let reply = knowledge.answer(&ask(None), Instant::now());
+    assert!(matches!(reply, Some(FeedReply::NotKnown)));
+    assert!(knowledge.age(SourceFeed::Servers, Instant::now()).is_none());
+}
+
+#[test]
+fn changes_after_a_revision_are_told_with_their_age() {
+    let knowledge = FeedKnowledge::default();
+    let now = Instant::now();
+    let empty = SourceItems {
+        items: Vec::new(),
+        revision: 10,
+    };
+    knowledge.take_all(SourceFeed::Servers, &empty, now);
+    knowledge.take_changes(SourceFeed::Servers, &gone("x", 12), now);
+    knowledge.take_changes(SourceFeed::Servers, &gone("y", 14), now);
+    let later = now + Duration::from_millis(700);
+    let Some(FeedReply::Items { items, age_ms }) = knowledge.answer(&ask(Some(12)), later) else {
+        panic!("a change");
+    };
+    assert_eq!((items.items.len(), items.revision, age_ms), (1, 14, 700));
+    let reply = knowledge.answer(&ask(Some(9)), later);
+    assert!(matches!(reply, Some(FeedReply::HistoryGone)));
+    assert!(
+        knowledge.answer(&ask(Some(14)), later).is_none(),
+        "it waits"
+    );
+    assert!(
+        knowledge.answer(&ask(Some(20)), later).is_none(),
+        "it waits"
+    );
+}
--- a/crates/front/tests/all/main.rs
+++ b/crates/front/tests/all/main.rs
@@ -1,1 +1,4 @@
-//! Tests of the front.
+//! Tests of the front's parts without processes.
+
+mod knowledge;
+mod settings;
--- /dev/null
+++ b/crates/front/tests/all/settings.rs
@@ -0,0 +1,45 @@
+//! Settings: what is read, and faults with their places.
+
+use camphorway_front::settings::FrontSettings;
+use std::time::Duration;
+
+const VALID: &str = "[front]\nvm = v\nfailure-domain = a\ncallers = 127.0.0.1:1\n\
+    readiness = 127.0.0.1:2\npeers = 127.0.0.1:3\n[store]\naddress = 127.0.0.1:4\n\
+    [bounds]\nin-force-ms = 4000\n[stop]\ngrace-ms = 6000\n\
+    [budget]\nratio = 0.2\nshared-allowance = 58\n[regions]\na = north\nb = south\n";
+
+#[test]
+fn all_sections_are_read() {
+    let settings = FrontSettings::parse("f.ini", VALID).expect("settings");
+    assert_eq!(settings.in_force, Duration::from_secs(4));
+    assert_eq!(settings.leave, Duration::from_secs(3));
+    assert_eq!(settings.grace, Duration::from_secs(6));
+    assert_eq!(settings.regions.len(), 2);
+    assert!((settings.shared_allowance - 58.0).abs() < f64::EPSILON);
+}
+
+#[test]
+fn each_fault_names_its_place() {
+    let text = VALID
+        .replace("callers = 127.0.0.1:1", "callers = here")
+        .replace("ratio = 0.2", "ratio = much\nfoo = 1")
+        .replace("[stop]", "[halt]");
+    let faults = FrontSettings::parse("f.ini", &text).expect_err("faults");
+    let text: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(text.join("\n"), @r"
+    f.ini:4: [front] callers: `here` is not allowed; allowed: an IP address and port
+    f.ini:11: [halt] -: unknown section; allowed: front, store, bounds, stop, budget, regions
+    f.ini:14: [budget] ratio: `much` is not allowed; allowed: a number from 0 to 10
+    f.ini:15: [budget] foo: unknown key; allowed: ratio, window-ms, allowance, shared-allowance
+    ");
+}
+
+#[test]
+fn a_missing_section_is_named() {
+    let faults = FrontSettings::parse("f.ini", "[stop]\ngrace-ms = 1\n").expect_err("faults");
+    assert!(
+        faults[0].to_string().contains("[front], [store]"),
+        "{}",
+        faults[0]
+    );
+}
