Soak: service is asked for after the recovery, nine tenths of requests

The users ask for a quarter of service after the recovery; the check now asks for nine tenths then, and for each promise throughout as before.

--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -9,9 +9,10 @@
 mod callers;
 mod faults;
 
-use callers::SoakCallers;
+use callers::{SoakAnswer, SoakCallers};
 use camphorway_standins::routed::stage::{RoutedStage, exchange, request_text, service_name};
 use faults::FaultSeries;
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,10 @@
 const RECOVERY: Duration = Duration::from_secs(12);
 /// A configuration is in force within this time.
 const IN_FORCE: Duration = Duration::from_secs(3);
+/// Once all is well again, at least this part of requests is served.
+const SERVED: f64 = 0.9;
+/// Keeps the ids of callers after the recovery apart from those before.
+const AFTERWARDS: u64 = 1 << 32;
 
 fn run(seed: u64, seconds: u64) {
     println!("seed {seed}, {seconds} s");
@@ -39,13 +44,50 @@
         answer.check(&stage);
     }
     let good = answers.iter().filter(|answer| answer.is_success()).count();
-    println!("seed {seed}: {good} of {} answered", answers.len());
-    assert!(
-        good * 4 > answers.len(),
-        "seed {seed}: {good} of {}",
-        answers.len()
+    println!(
+        "seed {seed}: {good} of {} answered; {:?}",
+        answers.len(),
+        by_status(&answers)
     );
     check_recovery(&mut stage, healed);
+    check_served(&stage, seed);
+}
+
+/// What the fronts logged that no single request is about.
+fn print_beliefs(stage: &RoutedStage) {
+    for front in &stage.fronts {
+        let log = front.process.log();
+        let lines = log.lines().filter(|line| !line.contains("request="));
+        for line in lines {
+            println!("{}: {line}", front.domain);
+        }
+    }
+}
+
+/// How many requests got each status; 0 is a connection that ended.
+fn by_status(answers: &[SoakAnswer]) -> BTreeMap<u16, usize> {
+    let mut counts = BTreeMap::new();
+    for answer in answers {
+        *counts.entry(answer.status()).or_default() += 1;
+    }
+    counts
+}
+
+/// Fresh callers are served after the recovery. During the faults there is no
+/// such bound: a front that restarts while the store is away knows nothing.
+fn check_served(stage: &RoutedStage, seed: u64) {
+    let callers = SoakCallers::start(stage, seed + AFTERWARDS);
+    std::thread::sleep(Duration::from_secs(1));
+    let answers = callers.finish();
+    let good = answers.iter().filter(|answer| answer.is_success()).count();
+    if (good as f64) < SERVED * answers.len() as f64 {
+        print_beliefs(stage);
+        panic!(
+            "seed {seed}: {good} of {}; {:?}",
+            answers.len(),
+            by_status(&answers)
+        );
+    }
 }
 
 /// All fronts serve all routes, and a new configuration comes into force.
@@ -107,7 +149,11 @@
     }
 }
 
-const REGRESSIONS: &[u64] = &[];
+const REGRESSIONS: &[u64] = &[
+    // The store was away nearly all the time while each front was restarted; the
+    // check asked for a quarter of answers even then (1127 of 5288).
+    226,
+];
 
 #[test]
 fn seeds_chosen_by_hand() {
--- a/tests/all/soak/callers.rs
+++ b/tests/all/soak/callers.rs
@@ -115,9 +115,12 @@
 
 impl SoakAnswer {
     pub(super) fn is_success(&self) -> bool {
-        self.answer
-            .as_ref()
-            .is_some_and(|answer| answer.status() == 200)
+        self.status() == 200
+    }
+
+    /// The status; 0 if the connection ended without an answer.
+    pub(super) fn status(&self) -> u16 {
+        self.answer.as_ref().map_or(0, HttpText::status)
     }
 
     /// Panics if the answer breaks a promise.
--- a/tests/all/soak/faults.rs
+++ b/tests/all/soak/faults.rs
@@ -36,6 +36,7 @@
 #[derive(Debug)]
 pub(super) struct FaultSeries {
     random: fastrand::Rng,
+    began: Instant,
     due: Vec<(Instant, FaultRemedy)>,
 }
 
@@ -43,6 +44,7 @@
     pub(super) fn new(seed: u64) -> Self {
         Self {
             random: fastrand::Rng::with_seed(seed),
+            began: Instant::now(),
             due: Vec::new(),
         }
     }
@@ -51,6 +53,7 @@
     pub(super) fn strike(&mut self, stage: &mut RoutedStage) {
         let remedy = self.cause(stage);
         if let Some(remedy) = remedy {
+            println!("{:?} {remedy:?} later", self.began.elapsed());
             let lasts = Duration::from_millis(self.random.u64(200..2_000));
             self.due.push((Instant::now() + lasts, remedy));
         }
