Draining is told to all daemons; a silent holder that is gone needs no budget

Causes, each traced from the logs of runs beside 12 busy processes on 6 cores (lines for refused, partial and failed are now at info): - a daemon that never called a server learned that it drains only from its own first call. Reports (server, number of its process, age) now go to the other daemons at once and with the pulls; the peers' protocol is camphorway/2. - requests refused as overloaded 10 ms after a wait of a few ms, with 2 s of time: a wait within 2, 5 or 10 in 100 of the time limit (by rank) is no congestion now. - a holder that had stopped was waited for until the deadline: its last packets did not leave before the process ended, and the standby was asked once at most, if the budget allowed.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -23,7 +23,7 @@
     ConfigTracker, GossipMessage, MemberAction, MemberTable, SharedItem, SharedItems, TrackerEvent,
 };
 use camphorway_model::{HeadObject, PartReference};
-use camphorway_policy::{ClearReport, CrashReport, QuarantineTable};
+use camphorway_policy::{ClearReport, CrashReport, DrainReport, DrainTable, QuarantineTable};
 use futures_lite::FutureExt;
 use serde_json::Value;
 use std::collections::{BTreeSet, HashMap};
@@ -35,8 +35,9 @@
 
 const INBOX: usize = 8_192;
 const ANNOUNCE_FANOUT: usize = 3;
-/// Crash reports go to this many members at once, not waiting for a round.
-const CRASH_FANOUT: usize = 16;
+/// Reports of crashes and draining servers go to this many members at once, not
+/// waiting for a round.
+const REPORT_FANOUT: usize = 16;
 /// The item that lists backend servers that are leaving.
 pub const LEAVING_KEY: &str = "vms/leaving";
 /// The prefix of layout objects.
@@ -62,6 +63,8 @@
     Vms(VmList),
     /// A backend server crashed.
     Crash(CrashReport),
+    /// A backend server said that it is draining.
+    Draining(DrainReport),
     /// An operator asks for the state.
     Dump(Sender<Value>),
     /// The daemon is stopping.
@@ -124,6 +127,7 @@
     executor: Rc<LocalExecutor<'executor>>,
     items: SharedItems,
     tracker: ConfigTracker,
+    drains: DrainTable,
     entry_count: usize,
     pulls: HashMap<SocketAddr, Instant>,
 }
@@ -135,6 +139,7 @@
         executor,
         items: SharedItems::default(),
         tracker: ConfigTracker::default(),
+        drains: DrainTable::default(),
         entry_count: 0,
         pulls: HashMap::new(),
     };
@@ -162,6 +167,9 @@
 impl ControlLoop<'_> {
     fn tick(&mut self) {
         let now = self.parts.clock.now();
+        if self.drains.forget_old(now) {
+            self.publish();
+        }
         self.refresh_digest();
         let actions = self.parts.members.tick(now);
         self.act(actions);
@@ -179,10 +187,12 @@
             ControlInput::PullAsked(request, reply) => {
                 self.learn_cleared(&request.cleared);
                 self.learn_crashes(&request.crashes);
+                self.learn_drains(&request.drains);
                 let answer = PullReply {
                     items: self.items.newer_than(&request.versions),
                     crashes: self.quarantine(|table| table.reports(now)),
                     cleared: self.quarantine(|table| table.clear_reports(now)),
+                    drains: self.drains.reports(now),
                 };
                 // The peer has gone if this fails.
                 let _ = reply.try_send(answer);
@@ -190,11 +200,13 @@
             ControlInput::Pulled(reply) => {
                 self.learn_cleared(&reply.cleared);
                 self.learn_crashes(&reply.crashes);
+                self.learn_drains(&reply.drains);
                 self.take_items(reply.items);
             }
             ControlInput::Items(items) => self.take_items(items),
             ControlInput::Vms(list) => self.take_vms(&list),
             ControlInput::Crash(report) => self.learn_crashes(&[report]),
+            ControlInput::Draining(report) => self.learn_drains(&[report]),
             ControlInput::Dump(reply) => {
                 let _ = reply.try_send(self.dump());
             }
@@ -248,6 +260,7 @@
             versions: self.items.versions(),
             crashes: self.quarantine(|table| table.reports(now)),
             cleared: self.quarantine(|table| table.clear_reports(now)),
+            drains: self.drains.reports(now),
         };
         self.exchange(address, request);
     }
@@ -287,9 +300,34 @@
                 news.push(report.clone());
             }
         }
-        if news.is_empty() {
-            return;
+        if !news.is_empty() {
+            self.spread(&news, &[]);
+        }
+    }
+
+    fn learn_drains(&mut self, reports: &[DrainReport]) {
+        let now = self.parts.clock.now();
+        let mut news = Vec::new();
+        for report in reports {
+            if self.drains.learn(report, now) {
+                event!(
+                    Info,
+                    "server-draining",
+                    server = report.server,
+                    boot = report.boot,
+                    age_ms = report.age_ms
+                );
+                news.push(report.clone());
+            }
         }
+        if !news.is_empty() {
+            self.publish();
+            self.spread(&[], &news);
+        }
+    }
+
+    /// Tells other members at once, not waiting for a round.
+    fn spread(&mut self, crashes: &[CrashReport], drains: &[DrainReport]) {
         self.refresh_digest();
         let own = self.parts.members.own().vm.clone();
         let others = self
@@ -299,11 +337,12 @@
             .filter(|peer| peer.vm != own && peer.is_serving());
         let mut peers: Vec<SocketAddr> = others.map(|peer| peer.address).collect();
         fastrand::shuffle(&mut peers);
-        for peer in peers.into_iter().take(CRASH_FANOUT) {
+        for peer in peers.into_iter().take(REPORT_FANOUT) {
             let request = PullRequest {
                 versions: self.items.versions(),
-                crashes: news.clone(),
+                crashes: crashes.to_vec(),
                 cleared: Vec::new(),
+                drains: drains.to_vec(),
             };
             self.exchange(peer, request);
         }
@@ -398,7 +437,8 @@
     fn publish(&mut self) {
         self.refresh_digest();
         let before = self.parts.view.load();
-        let view = TierView::build(&before, &self.parts.members, &self.items, &self.tracker);
+        let mut view = TierView::build(&before, &self.parts.members, &self.items, &self.tracker);
+        view.draining = Arc::new(self.drains.boots());
         self.parts.view.store(Arc::new(view));
         self.gauge();
     }
@@ -406,7 +446,8 @@
     fn refresh_digest(&mut self) {
         self.parts.members.digest.items = self.items.digest();
         self.parts.members.digest.items_age = self.items.age();
-        self.parts.members.digest.quarantine = self.quarantine(|table| table.digest());
+        let quarantine = self.quarantine(|table| table.digest());
+        self.parts.members.digest.reports = quarantine.wrapping_add(self.drains.digest());
     }
 
     fn quarantine<Output, Step>(&self, step: Step) -> Output
--- a/crates/daemon/src/control/dump.rs
+++ b/crates/daemon/src/control/dump.rs
@@ -71,6 +71,7 @@
             "groups": groups,
             "services": layouts,
             "items": items,
+            "draining-servers": view.draining.keys().map(ToString::to_string).collect::<Vec<_>>(),
             "leaving-servers": view.leaving.iter().map(ToString::to_string).collect::<Vec<_>>(),
         })
     }
--- a/crates/daemon/src/control/view.rs
+++ b/crates/daemon/src/control/view.rs
@@ -43,6 +43,9 @@
     pub seats: Arc<HashMap<GroupId, GroupSeats>>,
     /// Backend servers that the VM list shows as leaving.
     pub leaving: Arc<BTreeSet<ServerName>>,
+    /// Backend servers that said they are draining, with the number of the
+    /// process that drains.
+    pub draining: Arc<BTreeMap<ServerName, u64>>,
     /// Whether this daemon watches the platform's store for its domain.
     pub is_watcher: bool,
     /// Digest of the items that the parts above were built from.
@@ -77,6 +80,7 @@
             services: Arc::default(),
             seats: Arc::default(),
             leaving: Arc::default(),
+            draining: Arc::default(),
             is_watcher: false,
             items_digest: 0,
         };
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -36,6 +36,8 @@
 use tokio_util::sync::CancellationToken;
 
 const DRAIN_CHECK: Duration = Duration::from_millis(20);
+/// Longest time for closed connections to tell their peers.
+const LAST_PACKETS: Duration = Duration::from_millis(100);
 /// Time for last replies to leave after nothing runs any more.
 const LAST_REPLIES: Duration = Duration::from_millis(100);
 
@@ -344,7 +346,10 @@
             cut_groups = self.metrics.groups_running.get(),
             cut_claims = self.claims.waiting()
         );
-        self.links.endpoint().close(0_u32.into(), b"stopped");
+        let endpoint = self.links.endpoint();
+        endpoint.close(0_u32.into(), b"stopped");
+        // Peers that are told need not wait in vain for what they asked here.
+        self.clock.timeout(LAST_PACKETS, endpoint.wait_idle()).await;
         self.stop_all.cancel();
     }
 
@@ -355,10 +360,16 @@
         self.control.send(ControlInput::Leave).await;
         self.clock.sleep(self.settings.limits.balancer_lag).await;
         self.stop_callers.cancel();
-        while self.is_busy() {
-            self.clock.sleep(DRAIN_CHECK).await;
+        loop {
+            while self.is_busy() {
+                self.clock.sleep(DRAIN_CHECK).await;
+            }
+            self.clock.sleep(LAST_REPLIES).await;
+            // A group request of a peer that had not heard may have come meanwhile.
+            if !self.is_busy() {
+                return;
+            }
         }
-        self.clock.sleep(LAST_REPLIES).await;
     }
 
     fn is_busy(&self) -> bool {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -20,7 +20,7 @@
 use crate::store::claims::ClaimKeeper;
 use crate::sync::lock;
 use crate::task::TaskSpawner;
-use camphorway_model::{CanaryMode, PerRank, RefusalReason, RequestRank};
+use camphorway_model::{AnswerOutcome, CanaryMode, PerRank, RefusalReason, RequestId, RequestRank};
 use camphorway_policy::choice::{self, CoverageMemory};
 use camphorway_policy::{
     AdmissionDecision, ContentVerdict, EntryAdmission, LatencyWindow, RepeatBudgets, SilentPeers,
@@ -167,14 +167,7 @@
         if let Some(reason) = answer.reason() {
             self.parts.metrics.refused(rank, reason);
         }
-        event!(
-            Debug,
-            "request-done",
-            request = id,
-            rank = rank,
-            outcome = answer.outcome(),
-            took_us = took.as_micros()
-        );
+        log_done(id, rank, &answer, took);
         answer
     }
 
@@ -322,3 +315,31 @@
 
 /// The canary mode of a request that no rule covers.
 pub const DEFAULT_CANARY: CanaryMode = CanaryMode::Suspects;
+
+/// The line of an answered request. Whole answers are many and need no look, so
+/// they are told at the debug level only.
+fn log_done(id: RequestId, rank: RequestRank, answer: &CallerAnswer, took: Duration) {
+    let (outcome, took_us) = (answer.outcome(), took.as_micros());
+    if outcome == AnswerOutcome::Complete {
+        event!(
+            Debug,
+            "request-done",
+            request = id,
+            rank = rank,
+            outcome = outcome,
+            took_us = took_us
+        );
+        return;
+    }
+    let reason = answer.reason();
+    let reason = reason.map_or_else(|| "none".to_owned(), |reason| reason.to_string());
+    event!(
+        Info,
+        "request-done",
+        request = id,
+        rank = rank,
+        outcome = outcome,
+        reason = reason,
+        took_us = took_us
+    );
+}
--- a/crates/daemon/src/entry/ask.rs
+++ b/crates/daemon/src/entry/ask.rs
@@ -202,10 +202,11 @@
 
     /// The holder is silent: a standby may do the work, if it may run twice.
     fn ask_standby(&self, round: &mut SeatRound) {
-        self.mark_silent(round.seats[round.next - 1].address);
+        let peer = round.seats[round.next - 1].address;
+        let is_gone = self.mark_silent(peer);
         let has_next = round.next < round.seats.len();
         let allowed = self.request.mode == RunMode::Free && has_next;
-        if allowed && self.entry.memory().budgets.hedge.spend() {
+        if allowed && (is_gone || self.entry.memory().budgets.hedge.spend()) {
             let silent = &round.seats[round.next - 1];
             event!(
                 Info,
@@ -215,15 +216,19 @@
                 peer = silent.address
             );
             self.start_next(round);
-        } else {
+        } else if !allowed {
             // Nothing else can be done, so the timer is not needed again.
             round.acknowledged = true;
         }
     }
 
-    fn mark_silent(&self, peer: SocketAddr) {
+    /// Marks `peer` as silent; whether it has been for so long that it is taken
+    /// to be gone.
+    fn mark_silent(&self, peer: SocketAddr) -> bool {
         let now = self.entry.parts().clock.now();
-        self.entry.memory().silent.mark(peer, now);
+        let silent = &mut self.entry.memory().silent;
+        silent.mark(peer, now);
+        silent.is_gone(peer, now)
     }
 
     fn ack_time(&self, round: &SeatRound) -> Duration {
--- a/crates/daemon/src/holder.rs
+++ b/crates/daemon/src/holder.rs
@@ -129,6 +129,7 @@
             return Arc::clone(port);
         }
         let port = Arc::new(ServerPort::new(server, &view, &self.clock, &self.spawner));
+        port.refresh(&view);
         ports.insert(server.name.clone(), Arc::clone(&port));
         port
     }
@@ -196,6 +197,13 @@
         self.control.offer(ControlInput::Crash(report));
     }
 
+    /// Tells the other daemons that a server is draining.
+    pub fn report_draining(&self, port: &ServerPort) {
+        if let Some(report) = port.drain_report() {
+            self.control.offer(ControlInput::Draining(report));
+        }
+    }
+
     /// A result for a shard that no replica could be asked for.
     pub fn unavailable() -> ShardResult {
         ShardResult::NotSent(NotSentReason::Unavailable)
--- a/crates/daemon/src/holder/port.rs
+++ b/crates/daemon/src/holder/port.rs
@@ -13,8 +13,8 @@
 use camphorway_model::{BackendServer, PerRank, RequestRank, SnapshotId};
 use camphorway_policy::choice::HeldSnapshots;
 use camphorway_policy::{
-    CallEnd, CallId, ContentHash, CrashReport, GateEvent, GateSettings, ServerGate, ServerState,
-    WaitingCall,
+    CallEnd, CallId, ContentHash, CrashReport, DrainReport, GateEvent, GateSettings, ServerGate,
+    ServerState, WaitingCall,
 };
 use serde::Serialize;
 use std::collections::HashMap;
@@ -102,6 +102,7 @@
         let mut gate = ServerGate::new(gate_settings(server, view));
         let listed_leaving = view.leaving.contains(&server.name);
         gate.set_leaving(listed_leaving);
+        // Draining that others reported is taken over by the first refresh.
         let state = PortState {
             gate,
             generation: view.generation.0,
@@ -145,6 +146,22 @@
             state.listed_leaving = leaving;
             state.gate.set_leaving(leaving);
         }
+        if let Some(boot) = view.draining.get(&self.server.name)
+            && state.boot.is_none_or(|own| own == *boot)
+        {
+            state.boot = Some(*boot);
+            state.gate.set_leaving(true);
+        }
+    }
+
+    /// The report for other daemons of a server that is draining, if the number
+    /// of its process is known.
+    pub fn drain_report(&self) -> Option<DrainReport> {
+        Some(DrainReport {
+            server: self.server.name.clone(),
+            boot: self.lock().boot?,
+            age_ms: 0,
+        })
     }
 
     /// Whether a call may be offered now.
--- a/crates/daemon/src/holder/shard_call/attempt.rs
+++ b/crates/daemon/src/holder/shard_call/attempt.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use camphorway_model::{RequestRank, ShardId};
 use camphorway_policy::{CallEnd, CallId, CrashReport, WaitingCall};
+use derive_more::Display;
 use futures_lite::FutureExt;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -25,14 +26,21 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// How one try ended.
-#[derive(Debug)]
+#[derive(Debug, Display)]
 pub(super) enum AttemptEnd {
+    #[display("answered")]
     Answered(Bytes),
+    #[display("not-sent-{_0}")]
     NotSent(NotSentReason),
+    #[display("no-snapshot")]
     NoSnapshot,
+    #[display("crashed")]
     Crashed(CrashReport),
+    #[display("failed-{_0}")]
     Failed(FailCause),
+    #[display("preempted")]
     Preempted,
+    #[display("cancelled")]
     Cancelled,
 }
 
@@ -48,8 +56,29 @@
 }
 
 impl Attempt {
-    /// Waits for a slot and calls the server.
+    /// Waits for a slot and calls the server; says so if there is no answer.
     pub(super) async fn run(self) -> AttemptEnd {
+        let end = self.call().await;
+        let is_expected = matches!(
+            end,
+            AttemptEnd::Answered(_) | AttemptEnd::Cancelled | AttemptEnd::Preempted
+        );
+        if !is_expected {
+            event!(
+                Info,
+                "server-call-ended",
+                request = self.task.request.request,
+                shard = self.shard,
+                snapshot = self.task.request.snapshot,
+                server = self.port.server().name,
+                purpose = self.purpose,
+                end = end
+            );
+        }
+        end
+    }
+
+    async fn call(&self) -> AttemptEnd {
         let request = &self.task.request;
         let call = WaitingCall {
             id: CallId(0),
@@ -217,7 +246,10 @@
                 (AttemptEnd::NoSnapshot, CallEnd::Cancelled)
             }
             ReplyKind::Shed => (AttemptEnd::Failed(FailCause::Refused), CallEnd::Shed),
-            ReplyKind::Draining => (AttemptEnd::Failed(FailCause::Refused), CallEnd::Draining),
+            ReplyKind::Draining => {
+                self.holder.report_draining(&self.port);
+                (AttemptEnd::Failed(FailCause::Refused), CallEnd::Draining)
+            }
             ReplyKind::Abandoned => (AttemptEnd::Failed(FailCause::Timeout), CallEnd::Cancelled),
             ReplyKind::Refused => (AttemptEnd::Failed(FailCause::Refused), CallEnd::Failed),
         }
--- a/crates/daemon/src/holder/watch.rs
+++ b/crates/daemon/src/holder/watch.rs
@@ -37,7 +37,7 @@
         for port in held_ports(&holder, &view) {
             let holder = Arc::clone(&holder);
             holder.clone().spawner().spawn(async move {
-                let ask = ask_status(&port);
+                let ask = ask_status(&holder, &port);
                 holder.clock().timeout(STATUS_TIMEOUT, ask).await;
             });
         }
@@ -65,7 +65,7 @@
         .collect()
 }
 
-async fn ask_status(port: &ServerPort) {
+async fn ask_status(holder: &GroupHolder, port: &ServerPort) {
     let Ok(mut connection) = port.pool().checkout().await else {
         return;
     };
@@ -85,6 +85,9 @@
         return;
     };
     port.set_draining(status.draining, boot);
+    if status.draining {
+        holder.report_draining(port);
+    }
     port.set_held(HeldSnapshots {
         oldest: status.snapshots.first().copied(),
         newest: status.snapshots.last().copied(),
--- a/crates/daemon/src/peer/message.rs
+++ b/crates/daemon/src/peer/message.rs
@@ -5,7 +5,7 @@
 use camphorway_model::{
     GroupId, InstanceName, RequestId, RequestRank, ServiceName, ShardId, SnapshotId,
 };
-use camphorway_policy::{ClearReport, ContentHash, CrashReport, KindHash};
+use camphorway_policy::{ClearReport, ContentHash, CrashReport, DrainReport, KindHash};
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMicroSeconds, serde_as};
@@ -167,6 +167,8 @@
     pub crashes: Vec<CrashReport>,
     /// Suspects that succeeded, as far as the sender knows.
     pub cleared: Vec<ClearReport>,
+    /// Draining servers that the sender knows of.
+    pub drains: Vec<DrainReport>,
 }
 
 /// Answers a pull.
@@ -178,4 +180,6 @@
     pub crashes: Vec<CrashReport>,
     /// Suspects that succeeded, as far as the receiver knows.
     pub cleared: Vec<ClearReport>,
+    /// Draining servers that the receiver knows of.
+    pub drains: Vec<DrainReport>,
 }
--- a/crates/daemon/src/peer/tls.rs
+++ b/crates/daemon/src/peer/tls.rs
@@ -17,7 +17,7 @@
 
 /// The name that every daemon's certificate carries.
 pub const PEER_NAME: &str = "camphorway-daemon";
-const PROTOCOL: &[u8] = b"camphorway/1";
+const PROTOCOL: &[u8] = b"camphorway/2";
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 const MOST_BIDI_STREAMS: u32 = 4_096;
 /// Taken for the round trip until one is measured. A lost first packet is sent
--- a/crates/gossip/src/membership/message.rs
+++ b/crates/gossip/src/membership/message.rs
@@ -51,8 +51,8 @@
     pub items: u64,
     /// Sum of the items' versions, which only grows: who has less, pulls.
     pub items_age: u64,
-    /// Of the quarantine.
-    pub quarantine: u64,
+    /// Of the reports on crashes and draining servers.
+    pub reports: u64,
 }
 
 /// A message between two members; each goes one way.
@@ -115,7 +115,7 @@
     },
     /// The members that may hold groups have changed.
     Changed,
-    /// The peer has items that we lack, or another quarantine: ask it for them.
+    /// The peer has items that we lack, or other reports: ask it for them.
     Differs {
         /// The peer.
         vm: VmName,
--- a/crates/gossip/src/membership/news.rs
+++ b/crates/gossip/src/membership/news.rs
@@ -21,7 +21,7 @@
             self.learn(record, now, actions);
         }
         let behind = digest.items != self.digest.items && digest.items_age >= self.digest.items_age;
-        if behind || digest.quarantine != self.digest.quarantine {
+        if behind || digest.reports != self.digest.reports {
             actions.push(MemberAction::Differs {
                 vm: sender.vm.clone(),
                 address: sender.address,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -27,6 +27,8 @@
 /// The wait allowed to each rank, in times a call takes.
 const ALLOWED_WAIT: [f64; 3] = [1.0, 2.0, 4.0];
 const SHORTEST_ALLOWED_WAIT: Duration = Duration::from_millis(2);
+/// The wait allowed to each rank in any case, as a part of the time limit.
+const ALLOWED_PART: [f64; 3] = [0.02, 0.05, 0.1];
 
 /// What the entry does with a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -55,6 +57,16 @@
     pub coverage_target: f64,
 }
 
+impl AdmissionAsk<'_> {
+    /// The longest wait for a slot that is no sign of congestion.
+    fn allowed_wait(&self, service_time: Duration) -> Duration {
+        let rank = self.rank as usize;
+        let by_service = service_time.mul_f64(ALLOWED_WAIT[rank]);
+        let by_limit = self.time_left.mul_f64(ALLOWED_PART[rank]);
+        by_service.max(by_limit).max(SHORTEST_ALLOWED_WAIT)
+    }
+}
+
 /// A holder's report on one group.
 #[derive(Clone, Copy, Debug)]
 pub struct WaitReport {
@@ -172,8 +184,7 @@
             let Some((report, _)) = self.reports.get(group) else {
                 continue;
             };
-            let allowed = report.service_time.mul_f64(ALLOWED_WAIT[ask.rank as usize]);
-            congested |= report.waits[ask.rank] > allowed.max(SHORTEST_ALLOWED_WAIT);
+            congested |= report.waits[ask.rank] > ask.allowed_wait(report.service_time);
         }
         let limits = self.limits.entry(ask.service.clone()).or_default();
         limits[ask.rank].end(ask.kind, congested, now);
--- a/crates/policy/tests/all/admission.rs
+++ b/crates/policy/tests/all/admission.rs
@@ -80,6 +80,25 @@
     assert!(admission.in_flight(&service, RequestRank::Urgent).0 > cut);
 }
 
+#[test]
+fn wait_that_is_short_against_the_deadline_refuses_nobody() {
+    let mut now = Instant::now();
+    let service = ServiceName::new("portal");
+    let mut admission = EntryAdmission::default();
+    let mut ask = ask(&service, RequestRank::Normal, 1);
+    ask.time_left = Duration::from_secs(2);
+    report(&mut admission, SERVICE_TIME * 4, now);
+    for _ in 0..50 {
+        now += Duration::from_millis(60);
+        for _ in 0..5 {
+            assert!(is_admitted(&mut admission, &ask, now));
+        }
+        for _ in 0..5 {
+            admission.finish(&ask, false, std::iter::once(&group()), now);
+        }
+    }
+}
+
 #[test]
 fn flooding_kind_leaves_room_for_another() {
     let now = Instant::now();
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod claim;
 mod directory;
 mod dispatch;
+mod drain;
 mod feed_order;
 mod gate;
 mod hedge;
--- a/tests/all/failover.rs
+++ b/tests/all/failover.rs
@@ -71,6 +71,31 @@
     check(&load_while(&fleet, holder, Signal::STOP));
 }
 
+/// No budget is needed to ask another daemon than one that is gone.
+#[test]
+fn frozen_holder_is_passed_over_without_a_budget() {
+    let mut shape = FleetShape::simple(1, 6);
+    shape.rules = "[policy]\nhedging = off\nretry-budget = 0\n".to_owned();
+    let mut spec = FleetSpec::new(shape);
+    spec.daemons = 3;
+    let fleet = Fleet::start(spec).expect("a fleet");
+    let holder = holder_of(&fleet);
+    let process = fleet.daemons[holder].process.as_ref().expect("a process");
+    process.signal(Signal::STOP).expect("signalled");
+    let mut targets = fleet.callers();
+    targets.remove(holder);
+    let stream = LoadStream::new("queries", "portal", 50.0, Duration::from_secs(2));
+    let plan = LoadPlan {
+        targets,
+        streams: vec![stream],
+        duration: Duration::from_millis(500),
+        warm_up: Duration::ZERO,
+        seed: 4,
+    };
+    let answers = load::run(&plan).expect("a load");
+    assert_eq!(complete(&answers), answers.len());
+}
+
 #[test]
 fn killed_holder_is_passed_over() {
     let fleet = fleet();
--- a/tests/all/leaving.rs
+++ b/tests/all/leaving.rs
@@ -6,7 +6,7 @@
 use rustix::process::Signal;
 use serde_json::Value;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// After this time a leaving server gets no new call.
 const NO_NEW_CALL: Duration = Duration::from_secs(3);
@@ -105,6 +105,35 @@
     });
 }
 
+/// Daemons that never called a server hear from the others that it drains, and
+/// take its next process for a new one.
+#[test]
+fn draining_is_told_to_all_daemons() {
+    let mut fleet = fleet(2, 2, 2);
+    let switches = "draining=on&hide-status=on";
+    fleet.switch_server(LEAVING, switches).expect("a switch");
+    let stream = LoadStream::new("queries", "portal", 60.0, Duration::from_secs(1));
+    let draining = |fleet: &Fleet| {
+        let dumps = (0..fleet.daemons.len()).map(|daemon| fleet.state(daemon).expect("a dump"));
+        let names = dumps.map(|dump| dump["draining-servers"].to_string());
+        names.filter(|names| names.contains(LEAVING)).count()
+    };
+    let began = Instant::now();
+    while draining(&fleet) == 0 {
+        fleet.query(0, &stream, None, "text").expect("an answer");
+    }
+    let is_known = || draining(&fleet) == fleet.daemons.len();
+    wait_for(is_known, "the news").expect("known to all");
+    assert!(began.elapsed() < NO_NEW_CALL, "{:?}", began.elapsed());
+    fleet.restart_servers(0).expect("a new process");
+    let before = calls_to(&fleet, LEAVING);
+    let is_called = || {
+        fleet.query(0, &stream, None, "text").expect("an answer");
+        calls_to(&fleet, LEAVING) > before
+    };
+    wait_for(is_called, "a call").expect("the new process gets calls");
+}
+
 #[test]
 fn all_daemons_replaced_one_by_one_without_a_failed_request() {
     let mut fleet = fleet(3, 3, 1);
