An answer between a crash and its report clears the content

Cause: a crash is told once the server's port was found closed, some 20 ms after the loss. A second try of the same request that was answered by then did not count, so innocent content stayed suspect and its next request got no second try: 502. Change: the report carries the age of the loss; an answer after the loss counts.

--- a/crates/front/src/crash_guard.rs
+++ b/crates/front/src/crash_guard.rs
@@ -77,7 +77,7 @@
         lock(&self.held_elsewhere).insert(content, now);
     }
 
-    /// Suspect content was answered.
+    /// Content was answered that is suspect, or may become so by an earlier call.
     pub fn succeeded(&self, content: ContentHash) {
         let now = self.clock.now();
         lock(&self.table).succeeded(content, now);
@@ -89,9 +89,10 @@
         let (guard, line) = (Arc::clone(self), Arc::clone(line));
         self.spawner.spawn(async move {
             let alone = line.outstanding() == 0;
+            let lost_at = guard.clock.now();
             guard.clock.sleep(PORT_CLOSES).await;
             if guard.has_ended(&line).await {
-                guard.crashed(content, &line, alone);
+                guard.crashed(content, &line, alone, lost_at);
             }
         });
     }
@@ -106,15 +107,17 @@
         matches!(connected, Some(Err(ConnectError::Refused(_))))
     }
 
-    fn crashed(&self, content: ContentHash, line: &ServerLine, alone: bool) {
+    fn crashed(&self, content: ContentHash, line: &ServerLine, alone: bool, lost_at: Instant) {
         let now = self.clock.now();
+        let age = now.saturating_duration_since(lost_at);
         let record = line.record();
         let report = CrashReport {
             content,
             server: record.name.clone(),
             crash: xxh3_64_with_seed(record.name.as_str().as_bytes(), record.incarnation),
             alone,
-            age_ms: 0,
+            // Rounded up, so that an answer after the loss counts as later.
+            age_ms: age.as_millis() as u64 + 1,
         };
         let mut table = lock(&self.table);
         let is_news = table.crashed(&report, now);
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -337,7 +337,8 @@
             if let CallEnd::Answered(answer) = &end
                 && answer.status.is_success()
             {
-                if is_suspect {
+                // A crash that an earlier call met may not be known yet.
+                if is_suspect || purpose != CallPurpose::First {
                     parts.guard.succeeded(content);
                 }
                 parts.times.record(&route, distance, took);
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -135,6 +135,14 @@
         if cleared.is_some_and(|cleared| at <= *cleared) {
             return false;
         }
+        // It was answered after the crash and before this report of it.
+        let proven = self.proven.get(&report.content);
+        if let Some(proven) = proven.copied()
+            && at <= proven
+        {
+            self.clear(report.content, proven);
+            return false;
+        }
         self.proven.remove(&report.content);
         let suspect = self.suspects.entry(report.content).or_default();
         let crash = Crash {
--- a/crates/policy/tests/all/quarantine.rs
+++ b/crates/policy/tests/all/quarantine.rs
@@ -46,6 +46,24 @@
     assert_eq!(verdict(&mut table, now), ContentVerdict::Free);
 }
 
+/// A crash is told only once the server's port was found closed; a second try
+/// may have been answered by then.
+#[test]
+fn success_between_a_crash_and_its_report_clears() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    table.succeeded(CONTENT, now + Duration::from_millis(5));
+    let mut late = crash(1, "a", true);
+    late.age_ms = 20;
+    table.crashed(&late, now + Duration::from_millis(20));
+    let later = now + Duration::from_millis(20);
+    assert_eq!(verdict(&mut table, later), ContentVerdict::Free);
+    let mut next = crash(2, "b", true);
+    next.age_ms = 10;
+    table.crashed(&next, later);
+    assert_eq!(verdict(&mut table, later), ContentVerdict::SuspectAlone);
+}
+
 #[test]
 fn old_news_does_not_undo_a_success() {
     let now = Instant::now();
--- a/tests/all/front/peers.rs
+++ b/tests/all/front/peers.rs
@@ -145,7 +145,8 @@
         std::thread::sleep(Duration::from_millis(50));
         server.end();
         let answer = asking.join().expect("a thread").expect("an answer");
-        assert_eq!(answer.status(), 200);
+        let log = || stage.fronts[0].process.log();
+        assert_eq!(answer.status(), 200, "{}", log());
         std::thread::sleep(Duration::from_millis(100));
     }
     let answer = stage
