Front metrics: queues, connections, servers' states, budget, store calls, ages; byte order mark

An INI file that starts with a byte order mark was refused with a puzzling text; the mark is passed over, and line numbers stay right (test in the model).

--- /dev/null
+++ b/crates/front/src/counted_source.rs
@@ -0,0 +1,72 @@
+//! Counts the calls of the store by step and end.
+
+use crate::metrics::FrontMetrics;
+use crate::ports::{SourceError, SourceFeed, SourceItems, TierSource};
+use camphorway_model::FrontRecord;
+use camphorway_policy::ContentHash;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A source whose calls are counted.
+#[derive(Debug)]
+pub struct CountedSource<Source> {
+    source: Source,
+    metrics: Arc<FrontMetrics>,
+}
+
+impl<Source> CountedSource<Source> {
+    /// Counts the calls of `source`.
+    pub fn new(source: Source, metrics: &Arc<FrontMetrics>) -> Self {
+        Self {
+            source,
+            metrics: Arc::clone(metrics),
+        }
+    }
+
+    fn counted<Output>(
+        &self,
+        step: &str,
+        result: Result<Output, SourceError>,
+    ) -> Result<Output, SourceError> {
+        let end = match &result {
+            Ok(_) => "done",
+            Err(error) => error.kind(),
+        };
+        self.metrics.called_store(step, end);
+        result
+    }
+}
+
+impl<Source> TierSource for CountedSource<Source>
+where
+    Source: TierSource,
+{
+    async fn list(&self, feed: SourceFeed) -> Result<SourceItems, SourceError> {
+        self.counted("list", self.source.list(feed).await)
+    }
+
+    async fn watch(
+        &self,
+        feed: SourceFeed,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<SourceItems, SourceError> {
+        self.counted("watch", self.source.watch(feed, revision, wait).await)
+    }
+
+    async fn register(&self, front: &FrontRecord) -> Result<(), SourceError> {
+        self.counted("register", self.source.register(front).await)
+    }
+
+    async fn deregister(&self, front: &FrontRecord) -> Result<(), SourceError> {
+        self.counted("deregister", self.source.deregister(front).await)
+    }
+
+    async fn hold(&self, content: ContentHash) -> Result<(), SourceError> {
+        self.counted("hold", self.source.hold(content).await)
+    }
+
+    async fn release(&self, content: ContentHash) -> Result<(), SourceError> {
+        self.counted("release", self.source.release(content).await)
+    }
+}
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -57,7 +57,7 @@
     /// How old the knowledge of routes and servers is.
     pub knowledge: Arc<FeedKnowledge>,
     /// What extra calls may be made.
-    pub budgets: CallBudgets,
+    pub budgets: Arc<CallBudgets>,
     /// The daemon's metrics.
     pub metrics: Arc<FrontMetrics>,
     /// A query is answered this long before its objective, with what is there.
--- a/crates/front/src/fan_out/budgets.rs
+++ b/crates/front/src/fan_out/budgets.rs
@@ -47,6 +47,14 @@
         spent.unwrap_or(false)
     }
 
+    /// The least number of extra calls left to any set of services; none before
+    /// the first request.
+    pub fn least_left(&self, now: Instant) -> Option<f64> {
+        let mut table = lock(&self.table);
+        let left = table.values_mut().map(|budget| budget.left(now));
+        left.min_by(f64::total_cmp)
+    }
+
     fn with<Use, Output>(&self, services: &[ServiceName], use_budget: Use) -> Option<Output>
     where
         Use: FnOnce(&mut WindowBudget) -> Output,
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -1,10 +1,12 @@
 //! Puts a front together, runs it, and stops it gracefully.
 
 use crate::control::{ControlParts, FrontControl};
+use crate::counted_source::CountedSource;
 use crate::crash_guard::CrashGuard;
 use crate::door::FrontDoor;
 use crate::fan_out::{CallBudgets, CallTimes, FanOutParts};
 use crate::feed::{FeedFollower, FeedParts, FeedTimes};
+use crate::gauges::FrontGauges;
 use crate::knowledge::FeedKnowledge;
 use crate::membership;
 use crate::metrics::FrontMetrics;
@@ -63,8 +65,9 @@
 struct FrontCore<Wire, Source> {
     settings: FrontSettings,
     wire: Arc<Wire>,
-    source: Arc<Source>,
+    source: Arc<CountedSource<Source>>,
     clock: DaemonClock,
+    budgets: Arc<CallBudgets>,
     metrics: Arc<FrontMetrics>,
     spawner: TaskSpawner,
     view: Arc<SharedFront>,
@@ -120,12 +123,14 @@
         address: settings.peers,
         key,
     };
+    let metrics = Arc::new(FrontMetrics::new());
     let core = FrontCore {
+        budgets: Arc::new(CallBudgets::new(settings.budget)),
         settings,
         wire: Arc::new(wire),
-        source: Arc::new(source),
+        source: Arc::new(CountedSource::new(source, &metrics)),
         clock,
-        metrics: Arc::new(FrontMetrics::new()),
+        metrics,
         spawner,
         is_stopping: Arc::default(),
         stop_callers: stop_all.child_token(),
@@ -177,7 +182,7 @@
             times: Arc::new(CallTimes::default()),
             guard: Arc::clone(&self.guard),
             knowledge: Arc::clone(&self.knowledge),
-            budgets: CallBudgets::new(self.settings.budget),
+            budgets: Arc::clone(&self.budgets),
             metrics: Arc::clone(&self.metrics),
             answer_margin: self.settings.answer_margin,
         });
@@ -190,6 +195,12 @@
             wire: Arc::clone(&self.wire),
             view: Arc::clone(&self.view),
             metrics: Arc::clone(&self.metrics),
+            gauges: FrontGauges {
+                view: Arc::clone(&self.view),
+                knowledge: Arc::clone(&self.knowledge),
+                budgets: Arc::clone(&self.budgets),
+                clock: self.clock.clone(),
+            },
             is_stopping: Arc::clone(&self.is_stopping),
         };
         self.serve(listener, &self.stop_all, port);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -8,11 +8,13 @@
 
 pub mod answer;
 pub mod control;
+pub mod counted_source;
 pub mod crash_guard;
 pub mod door;
 pub mod fan_out;
 pub mod feed;
 pub mod front;
+pub mod gauges;
 pub mod knowledge;
 pub mod membership;
 pub mod metrics;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -1,13 +1,14 @@
 //! The front's metrics, in Prometheus' text format.
 
 use crate::answer::RoutedAnswer;
+use crate::gauges::LineCounts;
 use crate::ports::SourceFeed;
 use crate::server_call::CallEnd;
 use camphorway_daemon::log_sink;
 use camphorway_daemon::metrics::CallPurpose;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use std::time::Duration;
 
@@ -19,7 +20,13 @@
     latency: HistogramVec,
     server_calls: IntCounterVec,
     call_ends: IntCounterVec,
+    store_calls: IntCounterVec,
     store_losses: IntCounterVec,
+    feed_age: IntGaugeVec,
+    servers: IntGaugeVec,
+    connections: IntGaugeVec,
+    calls: IntGaugeVec,
+    budget_left: IntGauge,
     /// Extra calls that a budget did not allow.
     pub budget_refusals: IntCounter,
     /// The version of the configuration in force.
@@ -49,6 +56,12 @@
                 .expect("unique name");
             gauge
         };
+        let gauges = |name: &str, help: &str, label: &str| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &[label]).expect("valid metric");
+            let boxed = Box::new(gauges.clone());
+            registry.register(boxed).expect("unique name");
+            gauges
+        };
         let refusals = IntCounter::new("front_budget_refusals_total", "Extra calls not allowed")
             .expect("valid metric");
         registry
@@ -70,6 +83,23 @@
             latency,
             server_calls: counters("front_server_calls_total", "Calls of servers", &["purpose"]),
             call_ends: counters("front_server_call_ends_total", "Ends of calls", &["end"]),
+            store_calls: counters(
+                "front_store_calls_total",
+                "Calls of the store",
+                &["step", "end"],
+            ),
+            feed_age: gauges(
+                "front_feed_age_milliseconds",
+                "Time since the store confirmed what is known",
+                "feed",
+            ),
+            servers: gauges("front_servers", "Servers by state", "state"),
+            connections: gauges("front_connections", "Connections to servers", "state"),
+            calls: gauges("front_calls", "Calls of servers by state", "state"),
+            budget_left: gauge(
+                "front_budget_left",
+                "Extra calls left where there are fewest",
+            ),
             store_losses: counters(
                 "front_store_losses_total",
                 "Failed calls of the store",
@@ -102,6 +132,40 @@
         self.call_ends.with_label_values(&[end.name()]).inc();
     }
 
+    /// Counts a call of the store.
+    pub fn called_store(&self, step: &str, end: &str) {
+        self.store_calls.with_label_values(&[step, end]).inc();
+    }
+
+    /// Sets the age of what is known of a feed.
+    pub fn set_feed_age(&self, feed: SourceFeed, age: Duration) {
+        let label = feed.to_string();
+        let gauge = self.feed_age.with_label_values(&[label.as_str()]);
+        gauge.set(age.as_millis() as i64);
+    }
+
+    /// Sets the numbers of servers, their connections and calls.
+    pub fn set_lines(&self, counts: &LineCounts) {
+        let set = |gauges: &IntGaugeVec, state: &str, count: usize| {
+            gauges.with_label_values(&[state]).set(count as i64);
+        };
+        set(&self.servers, "sound", counts.sound);
+        set(&self.servers, "unsound", counts.unsound);
+        set(&self.servers, "missing", counts.missing);
+        set(&self.connections, "idle", counts.idle_connections);
+        set(&self.connections, "connecting", counts.connecting);
+        set(&self.calls, "running", counts.running);
+        set(&self.calls, "waiting", counts.waiting);
+    }
+
+    /// Sets how many extra calls are left where there are fewest, if any set of
+    /// services was asked yet.
+    pub fn set_budget_left(&self, left: Option<f64>) {
+        if let Some(left) = left {
+            self.budget_left.set(left as i64);
+        }
+    }
+
     /// Counts a failed call of the store.
     pub fn store_lost(&self, feed: SourceFeed) {
         let label = feed.to_string();
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -203,6 +203,16 @@
 
 impl std::error::Error for SourceError {}
 
+impl SourceError {
+    /// A word for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::HistoryGone => "history-gone",
+            Self::Failed { .. } => "failed",
+        }
+    }
+}
+
 /// A store that holds routes, registrations and fronts.
 pub trait TierSource: Send + Sync + 'static {
     /// All items of a feed.
--- a/crates/front/src/readiness_port.rs
+++ b/crates/front/src/readiness_port.rs
@@ -1,6 +1,7 @@
 //! The port that the balancer asks for readiness; operators find the metrics
 //! there too.
 
+use crate::gauges::FrontGauges;
 use crate::metrics::FrontMetrics;
 use crate::ports::WireDialect;
 use crate::view::SharedFront;
@@ -25,6 +26,8 @@
     pub view: Arc<SharedFront>,
     /// The daemon's metrics.
     pub metrics: Arc<FrontMetrics>,
+    /// Where gauges are read when the metrics are asked for.
+    pub gauges: FrontGauges,
     /// Whether the daemon is stopping.
     pub is_stopping: Arc<AtomicBool>,
 }
@@ -36,6 +39,7 @@
     async fn handle(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let (head, _) = request.into_parts();
         if head.uri.path() == METRICS_PATH {
+            self.gauges.read(&self.metrics);
             return Response::new(Full::new(Bytes::from(self.metrics.text())));
         }
         if !self.wire.asks_readiness(&head) {
--- a/crates/front/src/server_line.rs
+++ b/crates/front/src/server_line.rs
@@ -1,5 +1,6 @@
 //! A server as traffic sees it: its connections, and what calls have shown.
 
+use crate::gauges::LineCounts;
 use camphorway_daemon::clock::DaemonClock;
 use camphorway_daemon::event;
 use camphorway_daemon::http_client::RequestSender;
@@ -157,6 +158,14 @@
         }
     }
 
+    /// Adds the calls and connections to `counts`.
+    pub(crate) fn count(&self, counts: &mut LineCounts) {
+        let state = self.lock();
+        counts.running += state.stats.outstanding() as usize;
+        counts.idle_connections += state.idle.len();
+        counts.connecting += state.connecting;
+    }
+
     /// Calls running now.
     pub fn outstanding(&self) -> u32 {
         self.lock().stats.outstanding()
--- a/crates/front/src/service_lines.rs
+++ b/crates/front/src/service_lines.rs
@@ -1,6 +1,7 @@
 //! The servers of a service: the choice among them, a place among a server's
 //! calls, and who waits for one.
 
+use crate::gauges::LineCounts;
 use crate::server_line::ServerLine;
 use camphorway_daemon::http_client::RequestSender;
 use camphorway_daemon::sync::lock;
@@ -80,6 +81,22 @@
         self.ready.iter().chain(&self.missing)
     }
 
+    /// Adds these servers and their calls to `counts`.
+    pub fn count(&self, counts: &mut LineCounts, now: Instant) {
+        counts.missing += self.missing.len();
+        for line in &self.ready {
+            if line.offer(now).is_sound {
+                counts.sound += 1;
+            } else {
+                counts.unsound += 1;
+            }
+        }
+        for line in self.lines() {
+            line.count(counts);
+        }
+        counts.waiting += lock(&self.shared.waiting).by_urgency.len();
+    }
+
     /// Takes a place at the best server that is not in `tried`, with a connection
     /// if one has been idle for `most_idle` at most.
     ///
--- a/crates/model/src/ini.rs
+++ b/crates/model/src/ini.rs
@@ -40,9 +40,13 @@
     values: BTreeMap<String, IniValue>,
 }
 
+/// Some editors put this mark before the first line.
+const BYTE_ORDER_MARK: char = '\u{feff}';
+
 /// Splits `text` into its sections, adding each fault to `faults`.
 pub fn parse(file: &str, text: &str, faults: &mut Vec<IniFault>) -> Vec<IniSection> {
     let mut sections: Vec<IniSection> = Vec::new();
+    let text = text.strip_prefix(BYTE_ORDER_MARK).unwrap_or(text);
     let mut parser = ini_core::Parser::new(text).auto_trim(true);
     loop {
         let line = parser.line() as usize + 1;
--- a/crates/model/tests/all/configuration.rs
+++ b/crates/model/tests/all/configuration.rs
@@ -89,3 +89,17 @@
     let text = "[rank bulk]\nshare = 0.1\n[rank bulk]\nshare = 0.2\n";
     insta::assert_snapshot!(faults(text), @"inventory.ini:3: [rank bulk] -: section is repeated, first at line 1");
 }
+
+#[test]
+fn a_byte_order_mark_before_the_first_line_is_passed_over() {
+    let text = "\u{feff}[service portal]\nmerge = sum\nlayout = portal\n";
+    let checked = CheckedConfiguration::parse(&[("inventory.ini", text)]);
+    let configuration = checked.expect("no faults");
+    assert_eq!(configuration.inventory.services.len(), 1);
+    let text = "\u{feff}[service portal]\nmerge = average\nlayout = portal\n";
+    assert!(
+        faults(text).starts_with("inventory.ini:2:"),
+        "{}",
+        faults(text)
+    );
+}
--- a/tests/all/front/logs.rs
+++ b/tests/all/front/logs.rs
@@ -105,3 +105,31 @@
         "lines were dropped and counted"
     );
 }
+
+/// Queues, connections, budget, knowledge and the store's calls can be read.
+#[test]
+fn metrics_tell_the_state_of_a_front() {
+    let stage = stage(2, 1);
+    for _ in 0..5 {
+        let answer = stage.ask(0, "GET", "/s0/", &new_id()).expect("an answer");
+        assert_eq!(answer.status(), 200);
+    }
+    let metrics = stage.fronts[0].metrics().expect("metrics");
+    let value = |name: &str| -> i64 {
+        let line = metrics.lines().find_map(|line| line.strip_prefix(name));
+        let line = line.unwrap_or_else(|| panic!("{name} is missing in {metrics}"));
+        line.trim().parse().expect("a number")
+    };
+    assert!(value("front_servers{state=\"sound\"}") > 0);
+    assert_eq!(value("front_servers{state=\"missing\"}"), 0);
+    assert_eq!(value("front_calls{state=\"running\"}"), 0);
+    assert_eq!(value("front_calls{state=\"waiting\"}"), 0);
+    assert!(value("front_connections{state=\"idle\"}") > 0);
+    assert!(value("front_budget_left") > 0);
+    assert!(value("front_store_calls_total{end=\"done\",step=\"list\"}") >= 2);
+    assert_eq!(
+        value("front_store_calls_total{end=\"done\",step=\"register\"}"),
+        1
+    );
+    assert!(value("front_feed_age_milliseconds{feed=\"servers\"}") < 10_000);
+}
