--- /dev/null
+++ b/crates/standins/examples/front_cost.rs
@@ -0,0 +1,107 @@
+//! Processor time of one front for a query over all services, with and without
+//! its log, the sides in turn in one run.
+
+use camphorway_standins::experiment::process_cpu;
+use camphorway_standins::routed::http_text::HttpText;
+use camphorway_standins::routed::stage::{RoutedStage, request_text};
+use clap::Parser;
+use std::io::{self, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+const CALLERS: u32 = 8;
+const TIME_LIMIT_MS: u64 = 900;
+const LEVELS: [&str; 2] = ["info", "off"];
+
+/// What to run.
+#[derive(Debug, Parser)]
+struct CostCommand {
+    /// The daemon's program.
+    #[arg(long, default_value = "target/release/camphorwayd")]
+    binary: PathBuf,
+    /// Services that a query is merged from.
+    #[arg(long, default_value_t = 10)]
+    services: usize,
+    /// Queries a second.
+    #[arg(long, default_value_t = 300)]
+    rate: u32,
+    /// How long each side runs each time.
+    #[arg(long, default_value_t = 5)]
+    seconds: u64,
+    /// How often each side runs.
+    #[arg(long, default_value_t = 3)]
+    rounds: usize,
+}
+
+fn main() -> io::Result<()> {
+    let command = CostCommand::parse();
+    let mut stage = RoutedStage::start(&command.binary, command.services, 1)?;
+    println!("log level, queries, whole, us a query, us a server call");
+    for round in 0..command.rounds {
+        for level in LEVELS {
+            stage.log_level = level;
+            stage.restart_front(0)?;
+            stage.wait_ready()?;
+            run_side(&command, &stage, level, round);
+        }
+    }
+    Ok(())
+}
+
+fn run_side(command: &CostCommand, stage: &RoutedStage, level: &str, round: usize) {
+    let front = &stage.fronts[0];
+    let process = front.process.id();
+    let before = process_cpu(process);
+    let counts: Vec<(u32, u32)> = std::thread::scope(|scope| {
+        let threads: Vec<_> = (0..CALLERS)
+            .map(|caller| {
+                let name = format!("cost-{level}-{round}-{caller}");
+                scope.spawn(move || send(command, front.callers, &name))
+            })
+            .collect();
+        let joined = threads.into_iter().map(std::thread::ScopedJoinHandle::join);
+        joined.map(|counts| counts.expect("no panic")).collect()
+    });
+    let used = (process_cpu(process) - before) * 1e6;
+    let sent: u32 = counts.iter().map(|(sent, _)| sent).sum();
+    let whole: u32 = counts.iter().map(|(_, whole)| whole).sum();
+    let a_query = used / f64::from(sent);
+    let a_call = a_query / command.services as f64;
+    println!("{level}, {sent}, {whole}, {a_query:.1}, {a_call:.1}");
+}
+
+/// Sends at its part of the rate; how many were sent and had a whole answer.
+fn send(command: &CostCommand, address: SocketAddr, name: &str) -> (u32, u32) {
+    let period = Duration::from_secs(1) * CALLERS / command.rate;
+    let began = Instant::now();
+    let (mut sent, mut whole) = (0, 0);
+    let mut connection = None;
+    while began.elapsed() < Duration::from_secs(command.seconds) {
+        let text = request_text("GET", "/all/", &format!("{name}-{sent}"), TIME_LIMIT_MS);
+        match exchange(&mut connection, address, &text) {
+            Ok(answer) => whole += u32::from(answer.status() == 200),
+            Err(error) => {
+                eprintln!("{name}-{sent}: {error}");
+                connection = None;
+            }
+        }
+        sent += 1;
+        std::thread::sleep((period * sent).saturating_sub(began.elapsed()));
+    }
+    (sent, whole)
+}
+
+fn exchange(
+    connection: &mut Option<BufReader<TcpStream>>,
+    address: SocketAddr,
+    text: &str,
+) -> io::Result<HttpText> {
+    let reader = match connection {
+        Some(reader) => reader,
+        None => connection.insert(BufReader::new(TcpStream::connect(address)?)),
+    };
+    reader.get_mut().write_all(text.as_bytes())?;
+    let answer = HttpText::read(reader)?;
+    answer.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
+}
--- a/crates/standins/src/routed/stage.rs
+++ b/crates/standins/src/routed/stage.rs
@@ -36,6 +36,8 @@
     pub server_links: Vec<Arc<TcpProxy>>,
     /// The proxy in front of the store, if the stage has one.
     pub store_link: Option<Arc<TcpProxy>>,
+    /// Least level of the lines that fronts log from their next start on.
+    pub log_level: &'static str,
     /// The address that each server registers.
     registered: BTreeMap<String, SocketAddr>,
     store_address: SocketAddr,
@@ -93,6 +95,7 @@
             fronts: Vec::new(),
             server_links: Vec::new(),
             store_link: None,
+            log_level: "info",
             registered: BTreeMap::new(),
             store_address,
             directory,
@@ -178,10 +181,11 @@
         let settings = self.directory.join(format!("front-{}.ini", callers.port()));
         let mut text = format!(
             "[front]\nvm = vm-{}\nfailure-domain = {domain}\ncallers = {callers}\n\
-             readiness = {readiness}\npeers = {}\n[store]\naddress = {}\n\
+             readiness = {readiness}\npeers = {}\nlog-level = {}\n[store]\naddress = {}\n\
              [bounds]\nin-force-ms = 3000\nleave-ms = 3000\n[stop]\ngrace-ms = 4000\n[budget]\nratio = 0.2\nallowance = 5\n[regions]\n",
             callers.port(),
             peers,
+            self.log_level,
             self.store_address
         );
         for domain in DOMAINS {
