--- /dev/null
+++ b/crates/front/tests/all/held.rs
@@ -0,0 +1,131 @@
+//! Held content is deleted from the store when its time is over, by the first
+//! front of its failure domain.
+
+use async_executor::LocalExecutor;
+use async_io::block_on;
+use camphorway_daemon::clock::{DaemonClock, TestClock};
+use camphorway_daemon::peer::link::PeerLinks;
+use camphorway_daemon::peer::pinned::{PinnedKeys, new_identity};
+use camphorway_daemon::task::TaskSpawner;
+use camphorway_front::feed::FeedParts;
+use camphorway_front::membership;
+use camphorway_front::ports::{SourceError, SourceFeed, SourceItems, TierSource};
+use camphorway_model::{FailureDomain, FrontRecord, VmName};
+use camphorway_policy::{ContentHash, FeedOrder};
+use std::future::pending;
+use std::net::UdpSocket;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use tokio_util::sync::CancellationToken;
+
+const CONTENT: ContentHash = ContentHash(7);
+const BEFORE: Duration = Duration::from_secs(60);
+const AFTER: Duration = Duration::from_secs(60);
+
+/// A store that notes what is deleted.
+#[derive(Debug, Default)]
+struct NotingSource {
+    released: Mutex<Vec<ContentHash>>,
+}
+
+impl TierSource for NotingSource {
+    async fn list(&self, _feed: SourceFeed) -> Result<SourceItems, SourceError> {
+        pending().await
+    }
+
+    async fn watch(
+        &self,
+        _feed: SourceFeed,
+        _revision: u64,
+        _wait: Duration,
+    ) -> Result<SourceItems, SourceError> {
+        pending().await
+    }
+
+    async fn register(&self, _front: &FrontRecord) -> Result<(), SourceError> {
+        Ok(())
+    }
+
+    async fn deregister(&self, _front: &FrontRecord) -> Result<(), SourceError> {
+        Ok(())
+    }
+
+    async fn hold(&self, _content: ContentHash) -> Result<(), SourceError> {
+        Ok(())
+    }
+
+    async fn release(&self, content: ContentHash) -> Result<(), SourceError> {
+        let mut released = self.released.lock().expect("no panic");
+        released.push(content);
+        Ok(())
+    }
+}
+
+/// What was deleted a minute and two minutes after content was heard of, by
+/// front `own` where `first` is the front with the lowest order.
+fn released_by(is_first: bool) -> [usize; 2] {
+    let stop = CancellationToken::new();
+    let (spawner, _threads) = TaskSpawner::start(1, &stop).expect("a thread");
+    let test_clock = TestClock::new(Duration::ZERO);
+    let clock = DaemonClock::Test(Arc::clone(&test_clock));
+    let pinned = Arc::new(PinnedKeys::default());
+    let (key, tls) = new_identity(&pinned).expect("a key");
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    let address = socket.local_addr().expect("an address");
+    let (sink, _adopted) = async_channel::unbounded();
+    let links = PeerLinks::open(socket, tls, &spawner, &clock, sink).expect("an endpoint");
+    let domain = FailureDomain::new("d");
+    let names: Vec<VmName> = (0..2)
+        .map(|index| VmName::new(&format!("vm-{index}")))
+        .collect();
+    let records: Vec<FrontRecord> = names
+        .iter()
+        .map(|vm| FrontRecord {
+            vm: vm.clone(),
+            domain: domain.clone(),
+            address,
+            key: key.clone(),
+        })
+        .collect();
+    let orders: Vec<FeedOrder> = names.iter().map(|vm| FeedOrder::new(vm, &domain)).collect();
+    let chosen = orders
+        .into_iter()
+        .find(|order| order.is_first(&records) == is_first);
+    let source = Arc::new(NotingSource::default());
+    let (news, _inbox) = async_channel::unbounded();
+    let parts = Arc::new(FeedParts {
+        source: Arc::clone(&source),
+        links: Arc::new(links),
+        members: Arc::new(Mutex::new(records)),
+        knowledge: Arc::default(),
+        news,
+        clock,
+        stop: stop.clone(),
+    });
+    let (told, heard) = async_channel::unbounded();
+    let executor = LocalExecutor::new();
+    let order = chosen.expect("one of two fronts is first");
+    executor
+        .spawn(membership::release_held(parts, order, heard))
+        .detach();
+    told.try_send(CONTENT).expect("room");
+    let count_after = |step: Duration| {
+        while executor.try_tick() {}
+        test_clock.advance(step);
+        while executor.try_tick() {}
+        source.released.lock().expect("no panic").len()
+    };
+    let counts = block_on(async { [count_after(BEFORE), count_after(AFTER)] });
+    stop.cancel();
+    counts
+}
+
+#[test]
+fn the_first_front_deletes_held_content_when_its_time_is_over() {
+    assert_eq!(released_by(true), [0, 1]);
+}
+
+#[test]
+fn the_other_fronts_leave_that_to_the_first() {
+    assert_eq!(released_by(false), [0, 0]);
+}
--- a/crates/standins/src/routed/stage.rs
+++ b/crates/standins/src/routed/stage.rs
@@ -19,6 +19,7 @@
 /// The host of all routes.
 pub const HOST: &str = "portal.example";
 const CALL_LIMIT: Duration = Duration::from_secs(10);
+const DEFAULT_BUDGET: &str = "ratio = 0.2\nallowance = 5\n";
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
 type SpawnProgram = fn(&Path, &[&str], &Path) -> io::Result<FleetProcess>;
@@ -38,6 +39,8 @@
     pub store_link: Option<Arc<TcpProxy>>,
     /// Least level of the lines that fronts log from their next start on.
     pub log_level: &'static str,
+    /// The budget of extra calls, as settings of fronts from their next start on.
+    pub budget: &'static str,
     /// The address that each server registers.
     registered: BTreeMap<String, SocketAddr>,
     store_address: SocketAddr,
@@ -96,6 +99,7 @@
             server_links: Vec::new(),
             store_link: None,
             log_level: "info",
+            budget: DEFAULT_BUDGET,
             registered: BTreeMap::new(),
             store_address,
             directory,
@@ -182,11 +186,12 @@
         let mut text = format!(
             "[front]\nvm = vm-{}\nfailure-domain = {domain}\ncallers = {callers}\n\
              readiness = {readiness}\npeers = {}\nlog-level = {}\n[store]\naddress = {}\n\
-             [bounds]\nin-force-ms = 3000\nleave-ms = 3000\n[stop]\ngrace-ms = 4000\n[budget]\nratio = 0.2\nallowance = 5\n[regions]\n",
+             [bounds]\nin-force-ms = 3000\nleave-ms = 3000\n[stop]\ngrace-ms = 4000\n[budget]\n{}[regions]\n",
             callers.port(),
             peers,
             self.log_level,
-            self.store_address
+            self.store_address,
+            self.budget
         );
         for domain in DOMAINS {
             // Writing to memory can't fail.
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -12,6 +12,7 @@
 use camphorway_standins::routed::stage::RoutedStage;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
@@ -23,3 +24,20 @@
 fn new_id() -> String {
     format!("req{:013x}", NEXT_ID.fetch_add(1, Ordering::Relaxed))
 }
+
+/// Waits until a front has a version of the configuration in force.
+fn wait_version(stage: &RoutedStage, front: usize, version: u64) {
+    let began = Instant::now();
+    let line = format!("front_configuration_version {version}");
+    while !stage.fronts[front]
+        .metrics()
+        .expect("metrics")
+        .contains(&line)
+    {
+        assert!(
+            began.elapsed() < Duration::from_secs(3),
+            "not in force in time"
+        );
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
--- a/tests/all/front/configuration.rs
+++ b/tests/all/front/configuration.rs
@@ -1,7 +1,7 @@
 //! Configurations come into force soon, whole, and never go back.
 
-use super::{new_id, stage};
-use camphorway_standins::routed::stage::RoutedStage;
+use super::{new_id, stage, wait_version};
+use camphorway_standins::routed::stage::{RoutedStage, exchange, request_text};
 use serde_json::json;
 use std::time::{Duration, Instant};
 
@@ -109,3 +109,44 @@
     }
     assert!((58..=62).contains(&first), "{first} of 80");
 }
+
+/// A new set of shards while a query runs: its answer is of the old set alone,
+/// the next one of the new set alone.
+#[test]
+fn a_query_keeps_its_shards_when_others_come_into_force() {
+    let mut stage = stage(4, 1);
+    let with_shards = |stage: &RoutedStage, shards: &[&str]| {
+        let mut routes = stage.routes();
+        let all = routes.last_mut().expect("the route over all");
+        all["gather"] = json!(shards);
+        routes
+    };
+    let (old, new) = (["service0", "service1"], ["service2", "service3"]);
+    let routes = with_shards(&stage, &old);
+    let version = stage.configure(&routes);
+    wait_version(&stage, 0, version);
+    for server in stage.servers.iter().flatten() {
+        server.set_work(Duration::from_millis(400));
+    }
+    let callers = stage.fronts[0].callers;
+    let asking = std::thread::spawn(move || {
+        let text = request_text("GET", "/all/", &new_id(), 900);
+        exchange(callers, text.as_bytes())
+    });
+    std::thread::sleep(Duration::from_millis(100));
+    let routes = with_shards(&stage, &new);
+    let version = stage.configure(&routes);
+    wait_version(&stage, 0, version);
+    let during = asking.join().expect("a thread").expect("an answer");
+    let after = stage.ask(0, "GET", "/all/", &new_id()).expect("an answer");
+    for (answer, numbers) in [(during, [0, 1]), (after, [2, 3])] {
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.header("missing-parts"), "0");
+        let mut stamps: Vec<&str> = answer.header("part-stamps").split(", ").collect();
+        stamps.sort_unstable();
+        assert_eq!(stamps.len(), numbers.len(), "{stamps:?}");
+        for (stamp, number) in stamps.iter().zip(numbers) {
+            assert!(stamp.starts_with(&format!("i-{number}-")), "{stamps:?}");
+        }
+    }
+}
--- a/tests/all/front/faults.rs
+++ b/tests/all/front/faults.rs
@@ -170,6 +170,37 @@
     assert!(arrivals <= most, "{arrivals} of {most}");
 }
 
+/// What the fronts share beside the ratio is one sum, however many they are.
+#[test]
+fn extra_calls_of_all_fronts_stay_within_what_they_share() {
+    let shared = 20;
+    let mut stage = stage(1, 0);
+    stage.budget = "ratio = 0\nallowance = 0\nshared-allowance = 20\n";
+    let fronts = 3;
+    for domain in ["a", "b", "c"] {
+        stage.add_front(domain).expect("a front");
+    }
+    stage.wait_ready().expect("all are ready");
+    // Until all know each other, each has its own allowance only.
+    std::thread::sleep(Duration::from_secs(4));
+    for server in &stage.servers[0] {
+        server.set_fault(ServerFault::Fail);
+    }
+    let requests = 90;
+    for request in 0..requests {
+        let front = request % fronts;
+        stage
+            .ask(front, "GET", "/s0/", &new_id())
+            .expect("an answer");
+    }
+    let arrivals = stage.servers[0]
+        .iter()
+        .map(|server| server.arrivals().len());
+    let extra = arrivals.sum::<usize>() - requests;
+    assert!(extra > 0, "the shared part is used");
+    assert!(extra <= shared, "{extra} of {shared}");
+}
+
 #[test]
 fn a_query_earns_once_for_all_its_shards() {
     let shards = 5;
--- a/tests/all/front/peers.rs
+++ b/tests/all/front/peers.rs
@@ -1,11 +1,11 @@
 //! What fronts tell each other: changes, held content, and who is there.
 
-use super::{new_id, stage};
+use super::{new_id, stage, wait_version};
 use camphorway_standins::routed::object_store::StoreFault;
 use camphorway_standins::routed::signed_server::POISON;
 use camphorway_standins::routed::stage::RoutedStage;
 use rustix::process::Signal;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Fronts know each other after this time.
 const ACQUAINTED: Duration = Duration::from_secs(3);
@@ -18,22 +18,6 @@
     stage
 }
 
-fn wait_version(stage: &RoutedStage, front: usize, version: u64) {
-    let began = Instant::now();
-    let line = format!("front_configuration_version {version}");
-    while !stage.fronts[front]
-        .metrics()
-        .expect("metrics")
-        .contains(&line)
-    {
-        assert!(
-            began.elapsed() < Duration::from_secs(3),
-            "not in force in time"
-        );
-        std::thread::sleep(Duration::from_millis(20));
-    }
-}
-
 #[test]
 fn fronts_register_and_take_that_back() {
     let mut stage = stage(1, 3);
