--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -13,7 +13,7 @@
 use crate::event;
 use crate::metrics::DaemonMetrics;
 use crate::peer::link::PeerLinks;
-use crate::peer::message::{PullReply, PullRequest};
+use crate::peer::message::{PeerReports, PullReply, PullRequest};
 use crate::store::client::{VmKind, VmList, VmState};
 use crate::sync::lock;
 use async_channel::{Receiver, Sender};
@@ -185,22 +185,16 @@
                 self.act(actions);
             }
             ControlInput::PullAsked(request, reply) => {
-                self.learn_cleared(&request.cleared);
-                self.learn_crashes(&request.crashes);
-                self.learn_drains(&request.drains);
+                self.learn(&request.reports);
                 let answer = PullReply {
                     items: self.items.newer_than(&request.versions),
-                    crashes: self.quarantine(|table| table.reports(now)),
-                    cleared: self.quarantine(|table| table.clear_reports(now)),
-                    drains: self.drains.reports(now),
+                    reports: self.reports(now),
                 };
                 // The peer has gone if this fails.
                 let _ = reply.try_send(answer);
             }
             ControlInput::Pulled(reply) => {
-                self.learn_cleared(&reply.cleared);
-                self.learn_crashes(&reply.crashes);
-                self.learn_drains(&reply.drains);
+                self.learn(&reply.reports);
                 self.take_items(reply.items);
             }
             ControlInput::Items(items) => self.take_items(items),
@@ -258,9 +252,7 @@
         self.pulls.insert(address, now);
         let request = PullRequest {
             versions: self.items.versions(),
-            crashes: self.quarantine(|table| table.reports(now)),
-            cleared: self.quarantine(|table| table.clear_reports(now)),
-            drains: self.drains.reports(now),
+            reports: self.reports(now),
         };
         self.exchange(address, request);
     }
@@ -278,6 +270,21 @@
             .detach();
     }
 
+    /// All that is known of servers and contents, to be told to others.
+    fn reports(&self, now: Instant) -> PeerReports {
+        PeerReports {
+            crashes: self.quarantine(|table| table.reports(now)),
+            cleared: self.quarantine(|table| table.clear_reports(now)),
+            drains: self.drains.reports(now),
+        }
+    }
+
+    fn learn(&mut self, reports: &PeerReports) {
+        self.learn_cleared(&reports.cleared);
+        self.learn_crashes(&reports.crashes);
+        self.learn_drains(&reports.drains);
+    }
+
     fn learn_cleared(&self, reports: &[ClearReport]) {
         let now = self.parts.clock.now();
         for report in reports {
@@ -301,7 +308,10 @@
             }
         }
         if !news.is_empty() {
-            self.spread(&news, &[]);
+            self.spread(&PeerReports {
+                crashes: news,
+                ..PeerReports::default()
+            });
         }
     }
 
@@ -322,12 +332,15 @@
         }
         if !news.is_empty() {
             self.publish();
-            self.spread(&[], &news);
+            self.spread(&PeerReports {
+                drains: news,
+                ..PeerReports::default()
+            });
         }
     }
 
     /// Tells other members at once, not waiting for a round.
-    fn spread(&mut self, crashes: &[CrashReport], drains: &[DrainReport]) {
+    fn spread(&mut self, news: &PeerReports) {
         self.refresh_digest();
         let own = self.parts.members.own().vm.clone();
         let others = self
@@ -340,9 +353,7 @@
         for peer in peers.into_iter().take(REPORT_FANOUT) {
             let request = PullRequest {
                 versions: self.items.versions(),
-                crashes: crashes.to_vec(),
-                cleared: Vec::new(),
-                drains: drains.to_vec(),
+                reports: news.clone(),
             };
             self.exchange(peer, request);
         }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -121,25 +121,24 @@
         admin = core.settings.admin_address
     );
     block_on(core.wait_for_end());
-    // A thread that panicked has logged why; the others are to end all the same.
-    let _ = control_thread.join();
-    for thread in threads {
+    join_all(control_thread, threads);
+    Ok(())
+}
+
+/// Waits until all threads have ended.
+pub fn join_all(control: JoinHandle<()>, traffic: Vec<JoinHandle<()>>) {
+    for thread in std::iter::once(control).chain(traffic) {
+        // One that panicked has logged why; the others are to end all the same.
         let _ = thread.join();
     }
-    Ok(())
 }
 
 impl DaemonSockets {
     fn bind(settings: &DaemonSettings) -> Result<Self, StartError> {
-        let peers = UdpSocket::bind(settings.peer_address).map_err(|cause| StartError::Listen {
-            purpose: "peers",
-            address: settings.peer_address,
-            cause,
-        })?;
         Ok(Self {
+            peers: bind_peers(settings.peer_address)?,
             callers: listen("callers", settings.caller_address)?,
             admin: listen("operators", settings.admin_address)?,
-            peers,
         })
     }
 }
@@ -271,6 +270,18 @@
     }
 }
 
+/// Opens the socket for traffic between daemons.
+///
+/// # Errors
+/// Returns the address and what the system said.
+pub fn bind_peers(address: SocketAddr) -> Result<UdpSocket, StartError> {
+    UdpSocket::bind(address).map_err(|cause| StartError::Listen {
+        purpose: "peers",
+        address,
+        cause,
+    })
+}
+
 /// Listens at `address`; `purpose` names the port in an error.
 ///
 /// # Errors
--- a/crates/daemon/src/holder.rs
+++ b/crates/daemon/src/holder.rs
@@ -129,7 +129,6 @@
             return Arc::clone(port);
         }
         let port = Arc::new(ServerPort::new(server, &view, &self.clock, &self.spawner));
-        port.refresh(&view);
         ports.insert(server.name.clone(), Arc::clone(&port));
         port
     }
--- a/crates/daemon/src/holder/port.rs
+++ b/crates/daemon/src/holder/port.rs
@@ -99,12 +99,8 @@
         clock: &DaemonClock,
         spawner: &TaskSpawner,
     ) -> Self {
-        let mut gate = ServerGate::new(gate_settings(server, view));
-        let listed_leaving = view.leaving.contains(&server.name);
-        gate.set_leaving(listed_leaving);
-        // Draining that others reported is taken over by the first refresh.
         let state = PortState {
-            gate,
+            gate: ServerGate::new(gate_settings(server, view)),
             generation: view.generation.0,
             // Two holders may call a server at once, and call numbers must not collide there.
             next_call: u64::from(fastrand::u32(..)) << 32,
@@ -112,16 +108,18 @@
             running: HashMap::new(),
             boot: None,
             held: HeldSnapshots::default(),
-            listed_leaving,
+            listed_leaving: false,
             lost: None,
         };
-        Self {
+        let port = Self {
             pool: ConnectionPool::new(server, view.config.rules.policy.seats, spawner),
             server: server.clone(),
             clock: clock.clone(),
             spawner: spawner.clone(),
             state: Mutex::new(state),
-        }
+        };
+        port.refresh(view);
+        port
     }
 
     /// The backend server.
--- a/crates/daemon/src/http_client.rs
+++ b/crates/daemon/src/http_client.rs
@@ -1,5 +1,6 @@
-//! One HTTP/1.1 connection to the platform or to a backend server.
+//! HTTP/1.1 connections to the platform or to a backend server.
 
+use crate::sync::lock;
 use crate::task::TaskSpawner;
 use async_net::TcpStream;
 use bytes::Bytes;
@@ -8,6 +9,7 @@
 use hyper::client::conn::http1::{SendRequest, handshake};
 use smol_hyper::rt::FuturesIo;
 use std::net::SocketAddr;
+use std::sync::Mutex;
 
 /// Sends requests over one connection.
 pub type RequestSender = SendRequest<Full<Bytes>>;
@@ -51,3 +53,52 @@
     });
     Ok(sender)
 }
+
+/// Connections to one address that are kept for later calls.
+#[derive(derive_more::Debug)]
+pub struct IdleConnections {
+    address: SocketAddr,
+    most: usize,
+    #[debug(skip)]
+    senders: Mutex<Vec<RequestSender>>,
+}
+
+impl IdleConnections {
+    /// Keeps at most `most` connections to `address`.
+    pub fn new(address: SocketAddr, most: usize) -> Self {
+        Self {
+            address,
+            most,
+            senders: Mutex::default(),
+        }
+    }
+
+    /// A kept connection that is still open, or a new one.
+    ///
+    /// # Errors
+    /// Returns why no connection was made.
+    pub async fn take(&self, spawner: &TaskSpawner) -> Result<RequestSender, ConnectError> {
+        match self.take_kept() {
+            Some(sender) => Ok(sender),
+            None => connect(self.address, spawner).await,
+        }
+    }
+
+    /// Keeps a connection whose last reply was read to its end.
+    pub fn put(&self, sender: RequestSender) {
+        let mut senders = lock(&self.senders);
+        if !sender.is_closed() && senders.len() < self.most {
+            senders.push(sender);
+        }
+    }
+
+    fn take_kept(&self) -> Option<RequestSender> {
+        let mut senders = lock(&self.senders);
+        while let Some(sender) = senders.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+}
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -1,10 +1,8 @@
 //! The metrics that a daemon offers to Prometheus.
 
+use crate::metric_set::MetricSet;
 use camphorway_model::{AnswerOutcome, RefusalReason, RequestRank};
-use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
-};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use std::time::Duration;
 
 /// Why a call went to a backend server.
@@ -24,7 +22,7 @@
 /// All metrics of one daemon.
 #[derive(Debug)]
 pub struct DaemonMetrics {
-    registry: Registry,
+    set: MetricSet,
     requests: IntCounterVec,
     refusals: IntCounterVec,
     latency: HistogramVec,
@@ -58,96 +56,66 @@
     /// # Panics
     /// Panics if two metrics share a name, which is a fault of this function.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let vec = |name: &str, help: &str, labels: &[&str]| {
-            let counter = IntCounterVec::new(Opts::new(name, help), labels).expect("valid metric");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("unique name");
-            counter
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help).expect("valid metric");
-            registry
-                .register(Box::new(gauge.clone()))
-                .expect("unique name");
-            gauge
-        };
-        let gauge_vec = |name: &str, help: &str, labels: &[&str]| {
-            let gauge = IntGaugeVec::new(Opts::new(name, help), labels).expect("valid metric");
-            registry
-                .register(Box::new(gauge.clone()))
-                .expect("unique name");
-            gauge
-        };
-        let counter = |name: &str, help: &str| {
-            let counter = IntCounter::new(name, help).expect("valid metric");
-            registry
-                .register(Box::new(counter.clone()))
-                .expect("unique name");
-            counter
-        };
-        let buckets = prometheus::exponential_buckets(0.001, 1.5, 24).expect("valid buckets");
-        let options = HistogramOpts::new("camphorway_request_seconds", "Time to answer a caller.")
-            .buckets(buckets);
-        let latency = HistogramVec::new(options, &["rank"]).expect("valid metric");
-        registry
-            .register(Box::new(latency.clone()))
-            .expect("unique name");
+        let set = MetricSet::default();
         Self {
-            requests: vec(
+            requests: set.counters(
                 "camphorway_requests_total",
                 "Requests answered.",
                 &["rank", "outcome"],
             ),
-            refusals: vec(
+            refusals: set.counters(
                 "camphorway_refusals_total",
                 "Requests refused or failed.",
                 &["rank", "reason"],
             ),
-            latency,
-            server_calls: vec(
+            latency: set.histograms(
+                "camphorway_request_seconds",
+                "Time to answer a caller.",
+                "rank",
+                (0.001, 1.5, 24),
+            ),
+            server_calls: set.counters(
                 "camphorway_server_calls_total",
                 "Calls to backend servers.",
                 &["purpose"],
             ),
-            store_calls: vec(
+            store_calls: set.counters(
                 "camphorway_store_calls_total",
                 "Calls to the platform's store.",
                 &["purpose", "result"],
             ),
-            control_bytes: vec(
+            control_bytes: set.counters(
                 "camphorway_control_bytes_total",
                 "Bytes of control messages.",
                 &["direction"],
             ),
-            control_messages: vec(
+            control_messages: set.counters(
                 "camphorway_control_messages_total",
                 "Control messages.",
                 &["direction"],
             ),
-            requests_running: gauge("camphorway_requests_running", "Requests being answered."),
-            groups_running: gauge(
+            requests_running: set.gauge("camphorway_requests_running", "Requests being answered."),
+            groups_running: set.gauge(
                 "camphorway_groups_running",
                 "Group requests being answered.",
             ),
-            generation: gauge("camphorway_generation", "Configuration in force."),
-            members: gauge_vec("camphorway_members", "Members of the tier.", &["state"]),
-            quarantine: gauge_vec(
+            generation: set.gauge("camphorway_generation", "Configuration in force."),
+            members: set.gauges("camphorway_members", "Members of the tier.", "state"),
+            quarantine: set.gauges(
                 "camphorway_quarantine",
                 "Contents that crashed servers.",
-                &["state"],
+                "state",
             ),
-            mismatched_replies: counter(
+            mismatched_replies: set.counter(
                 "camphorway_mismatched_replies_total",
                 "Replies that did not fit their call.",
             ),
-            refused_peers: counter(
+            refused_peers: set.counter(
                 "camphorway_refused_peers_total",
                 "Peers without a valid certificate.",
             ),
-            invariant_breaches: gauge("camphorway_invariant_breaches", "Broken invariants."),
-            registry,
+            invariant_breaches: set.gauge("camphorway_invariant_breaches", "Broken invariants."),
+            set,
         }
     }
 
@@ -193,10 +161,8 @@
     pub fn render(&self) -> Vec<u8> {
         let breaches = camphorway_policy::invariant::breaches();
         self.invariant_breaches.set(breaches as i64);
-        let mut text = Vec::new();
         // Writing to memory can't fail.
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        text
+        self.set.text().unwrap_or_default()
     }
 }
 
--- a/crates/daemon/src/peer/message.rs
+++ b/crates/daemon/src/peer/message.rs
@@ -163,12 +163,8 @@
 pub struct PullRequest {
     /// What the sender holds.
     pub versions: Vec<ItemVersion>,
-    /// Crashes that the sender knows of.
-    pub crashes: Vec<CrashReport>,
-    /// Suspects that succeeded, as far as the sender knows.
-    pub cleared: Vec<ClearReport>,
-    /// Draining servers that the sender knows of.
-    pub drains: Vec<DrainReport>,
+    /// What the sender knows of servers and contents.
+    pub reports: PeerReports,
 }
 
 /// Answers a pull.
@@ -176,10 +172,17 @@
 pub struct PullReply {
     /// Items that the sender lacked.
     pub items: Vec<SharedItem>,
-    /// Crashes that the receiver knows of.
+    /// What the receiver knows of servers and contents.
+    pub reports: PeerReports,
+}
+
+/// What a daemon tells others of servers and contents.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct PeerReports {
+    /// Crashes.
     pub crashes: Vec<CrashReport>,
-    /// Suspects that succeeded, as far as the receiver knows.
+    /// Suspects that succeeded.
     pub cleared: Vec<ClearReport>,
-    /// Draining servers that the receiver knows of.
+    /// Draining servers.
     pub drains: Vec<DrainReport>,
 }
--- a/crates/daemon/src/peer/pinned.rs
+++ b/crates/daemon/src/peer/pinned.rs
@@ -110,6 +110,38 @@
     }
 }
 
+/// The methods that both verifier traits ask for in the same words. They have no
+/// common trait, so neither can call the other's.
+macro_rules! raw_key_checks {
+    () => {
+        fn verify_tls12_signature(
+            &self,
+            _message: &[u8],
+            _cert: &CertificateDer<'_>,
+            _dss: &DigitallySignedStruct,
+        ) -> Result<HandshakeSignatureValid, Error> {
+            Err(Error::General("TLS 1.2 is not used".to_owned()))
+        }
+
+        fn verify_tls13_signature(
+            &self,
+            message: &[u8],
+            cert: &CertificateDer<'_>,
+            dss: &DigitallySignedStruct,
+        ) -> Result<HandshakeSignatureValid, Error> {
+            self.verify_signature(message, cert, dss)
+        }
+
+        fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+            self.schemes()
+        }
+
+        fn requires_raw_public_keys(&self) -> bool {
+            true
+        }
+    };
+}
+
 impl ServerCertVerifier for PinnedVerifier {
     fn verify_server_cert(
         &self,
@@ -123,31 +155,7 @@
         Ok(ServerCertVerified::assertion())
     }
 
-    fn verify_tls12_signature(
-        &self,
-        _message: &[u8],
-        _cert: &CertificateDer<'_>,
-        _dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, Error> {
-        Err(Error::General("TLS 1.2 is not used".to_owned()))
-    }
-
-    fn verify_tls13_signature(
-        &self,
-        message: &[u8],
-        cert: &CertificateDer<'_>,
-        dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, Error> {
-        self.verify_signature(message, cert, dss)
-    }
-
-    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
-        self.schemes()
-    }
-
-    fn requires_raw_public_keys(&self) -> bool {
-        true
-    }
+    raw_key_checks!();
 }
 
 impl ClientCertVerifier for PinnedVerifier {
@@ -165,29 +173,5 @@
         Ok(ClientCertVerified::assertion())
     }
 
-    fn verify_tls12_signature(
-        &self,
-        _message: &[u8],
-        _cert: &CertificateDer<'_>,
-        _dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, Error> {
-        Err(Error::General("TLS 1.2 is not used".to_owned()))
-    }
-
-    fn verify_tls13_signature(
-        &self,
-        message: &[u8],
-        cert: &CertificateDer<'_>,
-        dss: &DigitallySignedStruct,
-    ) -> Result<HandshakeSignatureValid, Error> {
-        self.verify_signature(message, cert, dss)
-    }
-
-    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
-        self.schemes()
-    }
-
-    fn requires_raw_public_keys(&self) -> bool {
-        true
-    }
+    raw_key_checks!();
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -132,11 +132,7 @@
     /// # Errors
     /// Returns every fault with file, line, section and key.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Read {
-            path: path.to_owned(),
-            cause,
-        })?;
-        Self::parse(&path.display().to_string(), &text).map_err(SettingsError::Faults)
+        read_file(path, Self::parse)
     }
 
     /// Parses and checks settings; `file` names them in faults.
@@ -170,19 +166,35 @@
             return Ok(settings);
         }
         if faults.is_empty() {
-            faults.push(missing_section(file));
+            faults.push(missing_section(file, "[daemon], [store], [tls]"));
         }
         Err(faults)
     }
 }
 
-fn missing_section(file: &str) -> IniFault {
+/// Reads the file at `path` and has `parse` check it.
+///
+/// # Errors
+/// Returns that the file can't be read, or every fault that `parse` finds.
+pub fn read_file<Settings, Parse>(path: &Path, parse: Parse) -> Result<Settings, SettingsError>
+where
+    Parse: FnOnce(&str, &str) -> Result<Settings, Vec<IniFault>>,
+{
+    let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Read {
+        path: path.to_owned(),
+        cause,
+    })?;
+    parse(&path.display().to_string(), &text).map_err(SettingsError::Faults)
+}
+
+/// The fault of a file without a section that is needed; `needed` lists them.
+pub fn missing_section(file: &str, needed: &str) -> IniFault {
     IniFault {
         file: file.to_owned(),
         line: 0,
         section: String::new(),
         key: "-".to_owned(),
-        problem: "a section is missing; needed: [daemon], [store], [tls]".to_owned(),
+        problem: format!("a section is missing; needed: {needed}"),
     }
 }
 
--- a/crates/daemon/src/store/client.rs
+++ b/crates/daemon/src/store/client.rs
@@ -4,7 +4,7 @@
 //! configuration leaves some for claims, and status leaves some for both.
 
 use crate::clock::DaemonClock;
-use crate::http_client::{RequestSender, connect};
+use crate::http_client::IdleConnections;
 use crate::http_port::read_body;
 use crate::metrics::DaemonMetrics;
 use crate::settings::StoreSettings;
@@ -39,7 +39,7 @@
     clock: DaemonClock,
     spawner: TaskSpawner,
     metrics: Arc<DaemonMetrics>,
-    idle: Mutex<Vec<RequestSender>>,
+    idle: IdleConnections,
     budget: Mutex<CallBudget>,
 }
 
@@ -76,7 +76,7 @@
             clock: clock.clone(),
             spawner: spawner.clone(),
             metrics: Arc::clone(metrics),
-            idle: Mutex::default(),
+            idle: IdleConnections::new(settings.address, MOST_IDLE),
         };
         client.reload_token()?;
         Ok(client)
@@ -274,13 +274,8 @@
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<StoreReply, String> {
-        let pooled = self.take_idle();
-        let mut sender = match pooled {
-            Some(sender) => sender,
-            None => connect(self.settings.address, &self.spawner)
-                .await
-                .map_err(|cause| cause.to_string())?,
-        };
+        let connected = self.idle.take(&self.spawner).await;
+        let mut sender = connected.map_err(|cause| cause.to_string())?;
         let response = sender
             .send_request(request)
             .await
@@ -293,10 +288,7 @@
         let body = read_body(response.into_body(), MOST_OBJECT, CALL_TIMEOUT)
             .await
             .map_err(|cause| cause.to_string())?;
-        let mut idle = lock(&self.idle);
-        if idle.len() < MOST_IDLE {
-            idle.push(sender);
-        }
+        self.idle.put(sender);
         Ok(StoreReply {
             status,
             version,
@@ -304,16 +296,6 @@
         })
     }
 
-    fn take_idle(&self) -> Option<RequestSender> {
-        let mut idle = lock(&self.idle);
-        while let Some(sender) = idle.pop() {
-            if sender.is_ready() {
-                return Some(sender);
-            }
-        }
-        None
-    }
-
     /// Waits until the budget lets a call of this purpose go.
     async fn admit(&self, purpose: StorePurpose) {
         loop {
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -24,7 +24,7 @@
 use async_net::TcpListener;
 use async_signal::{Signal, Signals};
 use camphorway_daemon::clock::DaemonClock;
-use camphorway_daemon::daemon::{StartError, listen};
+use camphorway_daemon::daemon::{StartError, bind_peers, join_all, listen};
 use camphorway_daemon::event;
 use camphorway_daemon::http_port::{HttpHandler, HttpPort};
 use camphorway_daemon::peer::link::PeerLinks;
@@ -35,7 +35,6 @@
 use camphorway_policy::{ContentHash, FeedOrder, NoticeRoute};
 use futures_lite::{FutureExt, StreamExt};
 use quinn::Connection;
-use std::net::UdpSocket;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -107,11 +106,7 @@
     let source = make_source(&settings, &clock, &spawner);
     let pinned = Arc::new(PinnedKeys::default());
     let (key, tls) = new_identity(&pinned).map_err(StartError::Tls)?;
-    let socket = UdpSocket::bind(settings.peers).map_err(|cause| StartError::Listen {
-        purpose: "peers",
-        address: settings.peers,
-        cause,
-    })?;
+    let socket = bind_peers(settings.peers)?;
     let (sink, adopted) = async_channel::unbounded();
     let links = PeerLinks::open(socket, tls, &spawner, &clock, sink).map_err(StartError::Thread)?;
     let view = Arc::default();
@@ -157,11 +152,7 @@
         store = core.settings.store
     );
     block_on(core.wait_for_end());
-    // A thread that panicked has logged why; the others are to end all the same.
-    let _ = control.join();
-    for thread in threads {
-        let _ = thread.join();
-    }
+    join_all(control, threads);
     Ok(())
 }
 
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -5,17 +5,15 @@
 use crate::ports::SourceFeed;
 use crate::server_call::CallEnd;
 use camphorway_daemon::log_sink;
+use camphorway_daemon::metric_set::MetricSet;
 use camphorway_daemon::metrics::CallPurpose;
-use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
-};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use std::time::Duration;
 
 /// All metrics of one front.
 #[derive(Debug)]
 pub struct FrontMetrics {
-    registry: Registry,
+    set: MetricSet,
     requests: IntCounterVec,
     latency: HistogramVec,
     server_calls: IntCounterVec,
@@ -42,74 +40,52 @@
     /// # Panics
     /// Panics if two metrics share a name, which is a fault of this function.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let counters = |name: &str, help: &str, labels: &[&str]| {
-            let counters = IntCounterVec::new(Opts::new(name, help), labels).expect("valid metric");
-            let boxed = Box::new(counters.clone());
-            registry.register(boxed).expect("unique name");
-            counters
-        };
-        let gauge = |name: &str, help: &str| {
-            let gauge = IntGauge::new(name, help).expect("valid metric");
-            registry
-                .register(Box::new(gauge.clone()))
-                .expect("unique name");
-            gauge
-        };
-        let gauges = |name: &str, help: &str, label: &str| {
-            let gauges = IntGaugeVec::new(Opts::new(name, help), &[label]).expect("valid metric");
-            let boxed = Box::new(gauges.clone());
-            registry.register(boxed).expect("unique name");
-            gauges
-        };
-        let refusals = IntCounter::new("front_budget_refusals_total", "Extra calls not allowed")
-            .expect("valid metric");
-        registry
-            .register(Box::new(refusals.clone()))
-            .expect("unique name");
-        let options = HistogramOpts::new("front_request_seconds", "Time to answer");
-        let buckets = prometheus::exponential_buckets(0.002, 2.0, 12).expect("valid buckets");
-        let latency =
-            HistogramVec::new(options.buckets(buckets), &["priority"]).expect("valid metric");
-        registry
-            .register(Box::new(latency.clone()))
-            .expect("unique name");
+        let set = MetricSet::default();
         Self {
-            requests: counters(
+            requests: set.counters(
                 "front_requests_total",
                 "Requests by outcome",
                 &["priority", "outcome"],
             ),
-            latency,
-            server_calls: counters("front_server_calls_total", "Calls of servers", &["purpose"]),
-            call_ends: counters("front_server_call_ends_total", "Ends of calls", &["end"]),
-            store_calls: counters(
+            latency: set.histograms(
+                "front_request_seconds",
+                "Time to answer",
+                "priority",
+                (0.002, 2.0, 12),
+            ),
+            server_calls: set.counters(
+                "front_server_calls_total",
+                "Calls of servers",
+                &["purpose"],
+            ),
+            call_ends: set.counters("front_server_call_ends_total", "Ends of calls", &["end"]),
+            store_calls: set.counters(
                 "front_store_calls_total",
                 "Calls of the store",
                 &["step", "end"],
             ),
-            feed_age: gauges(
+            feed_age: set.gauges(
                 "front_feed_age_milliseconds",
                 "Time since the store confirmed what is known",
                 "feed",
             ),
-            servers: gauges("front_servers", "Servers by state", "state"),
-            connections: gauges("front_connections", "Connections to servers", "state"),
-            calls: gauges("front_calls", "Calls of servers by state", "state"),
-            budget_left: gauge(
+            servers: set.gauges("front_servers", "Servers by state", "state"),
+            connections: set.gauges("front_connections", "Connections to servers", "state"),
+            calls: set.gauges("front_calls", "Calls of servers by state", "state"),
+            budget_left: set.gauge(
                 "front_budget_left",
                 "Extra calls left where there are fewest",
             ),
-            store_losses: counters(
+            store_losses: set.counters(
                 "front_store_losses_total",
                 "Failed calls of the store",
                 &["feed"],
             ),
-            budget_refusals: refusals,
-            version: gauge("front_configuration_version", "Version in force"),
-            log_lines_dropped: gauge("front_log_lines_dropped", "Log lines dropped"),
-            running: gauge("front_requests_running", "Requests being answered"),
-            registry,
+            budget_refusals: set.counter("front_budget_refusals_total", "Extra calls not allowed"),
+            version: set.gauge("front_configuration_version", "Version in force"),
+            log_lines_dropped: set.gauge("front_log_lines_dropped", "Log lines dropped"),
+            running: set.gauge("front_requests_running", "Requests being answered"),
+            set,
         }
     }
 
@@ -175,11 +151,10 @@
     /// All metrics as text.
     pub fn text(&self) -> String {
         self.log_lines_dropped.set(log_sink::dropped() as i64);
-        let mut buffer = Vec::new();
-        if let Err(cause) = TextEncoder::new().encode(&self.registry.gather(), &mut buffer) {
-            return format!("# not encoded: {cause}\n");
+        match self.set.text() {
+            Ok(text) => String::from_utf8_lossy(&text).into_owned(),
+            Err(cause) => format!("# not encoded: {cause}\n"),
         }
-        String::from_utf8_lossy(&buffer).into_owned()
     }
 }
 
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings of a front, an INI file; docs/front.md describes each key.
 
-use camphorway_daemon::settings::SettingsError;
+use camphorway_daemon::settings::{self, SettingsError};
 use camphorway_model::ini::{self, IniFault, IniSection};
 use camphorway_model::{FailureDomain, VmName};
 use camphorway_policy::BudgetLimits;
@@ -63,11 +63,7 @@
     /// # Errors
     /// Returns every fault with file, line, section and key.
     pub fn read(path: &Path) -> Result<Self, SettingsError> {
-        let text = std::fs::read_to_string(path).map_err(|cause| SettingsError::Read {
-            path: path.to_owned(),
-            cause,
-        })?;
-        Self::parse(&path.display().to_string(), &text).map_err(SettingsError::Faults)
+        settings::read_file(path, Self::parse)
     }
 
     /// Parses and checks settings; `file` names them in faults.
@@ -125,13 +121,7 @@
             return Ok(settings);
         }
         if faults.is_empty() {
-            faults.push(IniFault {
-                file: file.to_owned(),
-                line: 0,
-                section: String::new(),
-                key: "-".to_owned(),
-                problem: "a section is missing; needed: [front], [store]".to_owned(),
-            });
+            faults.push(settings::missing_section(file, "[front], [store]"));
         }
         Err(faults)
     }
--- a/crates/standins/examples/front_cost.rs
+++ b/crates/standins/examples/front_cost.rs
@@ -2,16 +2,16 @@
 //! its log, the sides in turn in one run.
 
 use camphorway_standins::experiment::process_cpu;
-use camphorway_standins::routed::http_text::HttpText;
-use camphorway_standins::routed::stage::{RoutedStage, request_text};
+use camphorway_standins::routed::stage::{KeptConnection, RoutedStage, request_text};
 use clap::Parser;
-use std::io::{self, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 const CALLERS: u32 = 8;
 const TIME_LIMIT_MS: u64 = 900;
+const READ_LIMIT: Duration = Duration::from_secs(3);
 const LEVELS: [&str; 2] = ["info", "off"];
 
 /// What to run.
@@ -76,32 +76,15 @@
     let period = Duration::from_secs(1) * CALLERS / command.rate;
     let began = Instant::now();
     let (mut sent, mut whole) = (0, 0);
-    let mut connection = None;
+    let mut connection = KeptConnection::new(address, READ_LIMIT);
     while began.elapsed() < Duration::from_secs(command.seconds) {
         let text = request_text("GET", "/all/", &format!("{name}-{sent}"), TIME_LIMIT_MS);
-        match exchange(&mut connection, address, &text) {
+        match connection.ask(&text) {
             Ok(answer) => whole += u32::from(answer.status() == 200),
-            Err(error) => {
-                eprintln!("{name}-{sent}: {error}");
-                connection = None;
-            }
+            Err(error) => eprintln!("{name}-{sent}: {error}"),
         }
         sent += 1;
         std::thread::sleep((period * sent).saturating_sub(began.elapsed()));
     }
     (sent, whole)
 }
-
-fn exchange(
-    connection: &mut Option<BufReader<TcpStream>>,
-    address: SocketAddr,
-    text: &str,
-) -> io::Result<HttpText> {
-    let reader = match connection {
-        Some(reader) => reader,
-        None => connection.insert(BufReader::new(TcpStream::connect(address)?)),
-    };
-    reader.get_mut().write_all(text.as_bytes())?;
-    let answer = HttpText::read(reader)?;
-    answer.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
-}
--- a/crates/standins/src/routed/stage.rs
+++ b/crates/standins/src/routed/stage.rs
@@ -345,6 +345,48 @@
     answer.ok_or_else(|| io::ErrorKind::UnexpectedEof.into())
 }
 
+/// A caller's connection, kept until the other side ends it.
+#[derive(Debug)]
+pub struct KeptConnection {
+    address: SocketAddr,
+    read_limit: Duration,
+    reader: Option<BufReader<TcpStream>>,
+}
+
+impl KeptConnection {
+    /// Connects to `address` with the first request; an answer may take
+    /// `read_limit`.
+    pub fn new(address: SocketAddr, read_limit: Duration) -> Self {
+        Self {
+            address,
+            read_limit,
+            reader: None,
+        }
+    }
+
+    /// Sends a request and reads its answer. The next request takes a new
+    /// connection if there was none, or if it says that the connection ends.
+    ///
+    /// # Errors
+    /// Returns the system's error, or one if there was no whole answer.
+    pub fn ask(&mut self, request: &str) -> io::Result<HttpText> {
+        let mut reader = if let Some(reader) = self.reader.take() {
+            reader
+        } else {
+            let stream = TcpStream::connect(self.address)?;
+            stream.set_read_timeout(Some(self.read_limit))?;
+            BufReader::new(stream)
+        };
+        reader.get_mut().write_all(request.as_bytes())?;
+        let answer = HttpText::read(&mut reader)?;
+        let answer = answer.ok_or(io::ErrorKind::UnexpectedEof)?;
+        if answer.header("connection") != "close" {
+            self.reader = Some(reader);
+        }
+        Ok(answer)
+    }
+}
+
 /// The name of a service.
 pub fn service_name(service: usize) -> String {
     format!("service{service}")
--- a/tests/all/soak/callers.rs
+++ b/tests/all/soak/callers.rs
@@ -1,9 +1,8 @@
 //! Callers that keep their connections until they are closed, and what they saw.
 
 use camphorway_standins::routed::http_text::HttpText;
-use camphorway_standins::routed::stage::{RoutedStage, records, request_text};
-use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use camphorway_standins::routed::stage::{KeptConnection, RoutedStage, records, request_text};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
@@ -72,7 +71,7 @@
     services: usize,
 ) -> Vec<SoakAnswer> {
     let mut answers = Vec::new();
-    let mut connection = None;
+    let mut connection = KeptConnection::new(address, READ_LIMIT);
     while !stop.load(Ordering::Relaxed) {
         let number = answers.len();
         let (kind, method, path) = match number % 4 {
@@ -85,34 +84,13 @@
         };
         let id = format!("{name}-{number}");
         let text = request_text(method, &path, &id, TIME_LIMIT_MS);
-        let answer = exchange(&mut connection, address, &text);
-        let closes = answer
-            .as_ref()
-            .is_none_or(|answer| answer.header("connection") == "close");
-        if closes {
-            connection = None;
-        }
+        let answer = connection.ask(&text).ok();
         answers.push(SoakAnswer { id, kind, answer });
         std::thread::sleep(PAUSE);
     }
     answers
 }
 
-fn exchange(
-    connection: &mut Option<BufReader<TcpStream>>,
-    address: SocketAddr,
-    text: &str,
-) -> Option<HttpText> {
-    if connection.is_none() {
-        let stream = TcpStream::connect(address).ok()?;
-        stream.set_read_timeout(Some(READ_LIMIT)).ok()?;
-        *connection = Some(BufReader::new(stream));
-    }
-    let reader = connection.as_mut()?;
-    reader.get_mut().write_all(text.as_bytes()).ok()?;
-    HttpText::read(reader).ok().flatten()
-}
-
 impl SoakAnswer {
     pub(super) fn is_success(&self) -> bool {
         self.status() == 200
