An answer that a crash ended waits until other daemons have heard

Cause: the entry answered a caller whose content had crashed a server before the other daemons knew; a resend could reach one of them first, and a third server was lost (known red, poison::always_loses_two_servers_at_most beside 9 busy processes). Ruled out: the holder's own report, which travels no faster than the answer. Relays can delay one failure domain. Before: poison::resends_do_not_overtake_the_news_of_a_crash lost 3 servers at the first order.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -27,6 +27,7 @@
 use futures_lite::FutureExt;
 use serde_json::Value;
 use std::collections::{BTreeSet, HashMap};
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
@@ -61,8 +62,9 @@
     Items(Vec<SharedItem>),
     /// The VM list as read from the platform.
     Vms(VmList),
-    /// A backend server crashed.
-    Crash(CrashReport),
+    /// A backend server crashed. The sender, if any, is dropped once the other
+    /// daemons have heard, or can't be told.
+    Crash(CrashReport, Option<Sender<Infallible>>),
     /// A backend server said that it is draining.
     Draining(DrainReport),
     /// An operator asks for the state.
@@ -199,7 +201,7 @@
             }
             ControlInput::Items(items) => self.take_items(items),
             ControlInput::Vms(list) => self.take_vms(&list),
-            ControlInput::Crash(report) => self.learn_crashes(&[report]),
+            ControlInput::Crash(report, told) => self.take_crash(report, told),
             ControlInput::Draining(report) => self.learn_drains(&[report]),
             ControlInput::Dump(reply) => {
                 let _ = reply.try_send(self.dump());
@@ -254,10 +256,16 @@
             versions: self.items.versions(),
             reports: self.reports(now),
         };
-        self.exchange(address, request);
+        self.exchange(address, request, None);
     }
 
-    fn exchange(&self, address: SocketAddr, request: PullRequest) {
+    /// Exchanges reports with a peer, and drops `told` when that is over.
+    fn exchange(
+        &self,
+        address: SocketAddr,
+        request: PullRequest,
+        told: Option<Sender<Infallible>>,
+    ) {
         let links = Arc::clone(&self.parts.links);
         let handle = self.parts.handle.clone();
         self.executor
@@ -266,6 +274,7 @@
                     Ok(reply) => handle.send(ControlInput::Pulled(reply)).await,
                     Err(error) => event!(Debug, "pull-failed", error = error),
                 }
+                drop(told);
             })
             .detach();
     }
@@ -292,26 +301,46 @@
         }
     }
 
-    fn learn_crashes(&mut self, reports: &[CrashReport]) {
+    /// Learns of a crash from a call. Whoever waits for others to be told has
+    /// them told again, since news on its way from elsewhere may be slower.
+    fn take_crash(&mut self, report: CrashReport, told: Option<Sender<Infallible>>) {
+        if told.is_none() {
+            self.learn_crashes(&[report]);
+            return;
+        }
+        self.note_crash(&report);
+        let news = PeerReports {
+            crashes: vec![report],
+            ..PeerReports::default()
+        };
+        self.spread(&news, told);
+    }
+
+    /// Whether the crash is news.
+    fn note_crash(&self, report: &CrashReport) -> bool {
         let now = self.parts.clock.now();
-        let mut news = Vec::new();
-        for report in reports {
-            if self.quarantine(|table| table.crashed(report, now)) {
-                event!(
-                    Warn,
-                    "server-crash",
-                    server = report.server,
-                    content = report.content.0,
-                    alone = report.alone
-                );
-                news.push(report.clone());
-            }
+        let is_news = self.quarantine(|table| table.crashed(report, now));
+        if is_news {
+            event!(
+                Warn,
+                "server-crash",
+                server = report.server,
+                content = report.content.0,
+                alone = report.alone
+            );
         }
+        is_news
+    }
+
+    fn learn_crashes(&mut self, reports: &[CrashReport]) {
+        let is_news = |report: &&CrashReport| self.note_crash(report);
+        let news: Vec<CrashReport> = reports.iter().filter(is_news).cloned().collect();
         if !news.is_empty() {
-            self.spread(&PeerReports {
+            let news = PeerReports {
                 crashes: news,
                 ..PeerReports::default()
-            });
+            };
+            self.spread(&news, None);
         }
     }
 
@@ -332,15 +361,17 @@
         }
         if !news.is_empty() {
             self.publish();
-            self.spread(&PeerReports {
+            let news = PeerReports {
                 drains: news,
                 ..PeerReports::default()
-            });
+            };
+            self.spread(&news, None);
         }
     }
 
-    /// Tells other members at once, not waiting for a round.
-    fn spread(&mut self, news: &PeerReports) {
+    /// Tells other members at once, not waiting for a round; `told` is dropped
+    /// when all have answered or failed to.
+    fn spread(&mut self, news: &PeerReports, told: Option<Sender<Infallible>>) {
         self.refresh_digest();
         let own = self.parts.members.own().vm.clone();
         let others = self
@@ -355,7 +386,7 @@
                 versions: self.items.versions(),
                 reports: news.clone(),
             };
-            self.exchange(peer, request);
+            self.exchange(peer, request, told.clone());
         }
     }
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -3,6 +3,7 @@
 
 pub mod answer;
 pub mod ask;
+mod crash_news;
 pub mod fan_out;
 pub mod once;
 pub mod request;
--- a/crates/daemon/src/entry/fan_out.rs
+++ b/crates/daemon/src/entry/fan_out.rs
@@ -1,9 +1,10 @@
 //! A query's fan-out: one ask for each group, results merged as they come, and
 //! missing shards asked again elsewhere within the budgets.
 
-use crate::control::{ControlInput, lock_quarantine};
+use crate::control::lock_quarantine;
 use crate::entry::answer::CallerAnswer;
 use crate::entry::ask::{AskEvent, GroupAsk};
+use crate::entry::crash_news::CrashTold;
 use crate::entry::{AdmittedRequest, RequestEntry};
 use crate::event;
 use crate::peer::message::{
@@ -41,14 +42,14 @@
         None
     };
     let Some(better) = better else {
-        return fan.finish();
+        return fan.finish().await;
     };
     let ledger = fan.into_ledger();
     admitted.snapshot = better;
     let mut fan = FanOut::new(entry, &admitted, ledger);
     fan.drive().await;
     fan.observe();
-    fan.finish()
+    fan.finish().await
 }
 
 /// What became of one shard so far.
@@ -76,6 +77,8 @@
     /// Cancels what still runs when the query ends.
     guard: DropGuard,
     crashed: bool,
+    /// Ends when other daemons have heard of the first crash.
+    crash_told: Option<CrashTold>,
     began: Instant,
 }
 
@@ -103,6 +106,7 @@
             guard: cancel.clone().drop_guard(),
             cancel,
             crashed: false,
+            crash_told: None,
             began: entry.parts().clock.now(),
         }
     }
@@ -200,8 +204,8 @@
             ShardResult::NotSent(_) => self.ledger.came_back_unsent(),
             ShardResult::Crashed(report) => {
                 self.crashed = true;
-                let news = ControlInput::Crash(report.clone());
-                self.entry.parts().control.offer(news);
+                let told = self.entry.tell_crash(report.clone());
+                self.crash_told.get_or_insert(told);
             }
             ShardResult::NoSnapshot | ShardResult::Failed(_) => {}
         }
@@ -439,7 +443,10 @@
         self.ledger
     }
 
-    fn finish(self) -> CallerAnswer {
+    async fn finish(mut self) -> CallerAnswer {
+        if let Some(told) = self.crash_told.take() {
+            told.wait(self.reply_time()).await;
+        }
         let mut count = CoverageCount::new(self.layout);
         for shard in self.answers.keys() {
             let is_new = count.add(*shard);
--- a/crates/daemon/src/entry/once.rs
+++ b/crates/daemon/src/entry/once.rs
@@ -5,7 +5,7 @@
 //! its deadline has passed, so that the claim gets its end and a caller who
 //! sends again gets the first answer.
 
-use crate::control::{ControlInput, lock_quarantine};
+use crate::control::lock_quarantine;
 use crate::entry::answer::CallerAnswer;
 use crate::entry::ask::{AskEvent, GroupAsk};
 use crate::entry::{AdmittedRequest, RequestEntry};
@@ -163,7 +163,7 @@
                 }
                 continue;
             }
-            return self.ended(result);
+            return self.ended(result).await;
         }
         let proof = token.refuse(reason);
         // Only now may another attempt claim the id: nothing of this one can run any more.
@@ -232,7 +232,7 @@
     }
 
     /// Records the end of a request that was sent.
-    fn ended(&self, result: Option<ShardResult>) -> CallerAnswer {
+    async fn ended(&self, result: Option<ShardResult>) -> CallerAnswer {
         let parts = self.entry.parts();
         let request = &self.admitted.request;
         match result {
@@ -253,7 +253,8 @@
                 CallerAnswer::confirmed(Some(merged))
             }
             Some(ShardResult::Crashed(report)) => {
-                parts.control.offer(ControlInput::Crash(report));
+                let told = self.entry.tell_crash(report);
+                told.wait(self.admitted.deadline).await;
                 CallerAnswer::unknown(RefusalReason::Quarantined)
             }
             Some(ShardResult::NoSnapshot | ShardResult::Failed(_) | ShardResult::NotSent(_))
--- a/crates/daemon/src/holder.rs
+++ b/crates/daemon/src/holder.rs
@@ -193,7 +193,7 @@
 
     /// Tells the quarantine of a crash.
     pub fn report_crash(&self, report: CrashReport) {
-        self.control.offer(ControlInput::Crash(report));
+        self.control.offer(ControlInput::Crash(report, None));
     }
 
     /// Tells the other daemons that a server is draining.
--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -1,12 +1,13 @@
 //! Relays in front of daemons' peer addresses, by which failure domains can be
-//! cut off from each other.
+//! cut off from each other, or moved farther apart.
 
 use std::collections::HashMap;
+use std::collections::hash_map::Entry;
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError, mpsc};
+use std::time::{Duration, Instant};
 
 const MOST_DATAGRAM: usize = 65_536;
 const STOP_CHECK: Duration = Duration::from_millis(200);
@@ -16,6 +17,8 @@
 pub struct RelaySwitch {
     /// Whether traffic between domains is dropped.
     is_cut: AtomicBool,
+    /// How long datagrams from and to a domain take, one way.
+    delays: Mutex<HashMap<String, Duration>>,
     stopped: AtomicBool,
     /// The domain of each daemon, by the address it sends from.
     domains: Mutex<HashMap<SocketAddr, String>>,
@@ -27,6 +30,12 @@
         self.is_cut.store(is_cut, Ordering::Relaxed);
     }
 
+    /// Datagrams between `domain` and the others take this long, one way.
+    pub fn set_delay(&self, domain: &str, delay: Duration) {
+        let mut delays = self.delays.lock().unwrap_or_else(PoisonError::into_inner);
+        delays.insert(domain.to_owned(), delay);
+    }
+
     /// Ends all relays.
     pub fn stop(&self) {
         self.stopped.store(true, Ordering::Relaxed);
@@ -36,10 +45,47 @@
         self.stopped.load(Ordering::Relaxed)
     }
 
-    fn is_dropped(&self, source: SocketAddr, domain: &str) -> bool {
+    /// When a datagram between `source` and `domain` arrives; none if it is lost.
+    fn arrival(&self, source: SocketAddr, domain: &str) -> Option<Instant> {
+        let now = Instant::now();
         let domains = self.domains.lock().unwrap_or_else(PoisonError::into_inner);
-        let crosses = domains.get(&source).is_some_and(|other| other != domain);
-        crosses && self.is_cut.load(Ordering::Relaxed)
+        let Some(other) = domains.get(&source).filter(|other| *other != domain) else {
+            return Some(now);
+        };
+        if self.is_cut.load(Ordering::Relaxed) {
+            return None;
+        }
+        let delays = self.delays.lock().unwrap_or_else(PoisonError::into_inner);
+        let delay = |domain| delays.get(domain).copied().unwrap_or_default();
+        Some(now + delay(domain) + delay(other))
+    }
+}
+
+/// Sends datagrams when they are due, in the order in which they came.
+#[derive(Debug)]
+struct DelayLine {
+    sender: mpsc::Sender<(Instant, Vec<u8>)>,
+}
+
+impl DelayLine {
+    /// Ends with its last handle.
+    fn start<Deliver>(deliver: Deliver) -> Self
+    where
+        Deliver: Fn(&[u8]) + Send + 'static,
+    {
+        let (sender, due) = mpsc::channel::<(Instant, Vec<u8>)>();
+        std::thread::spawn(move || {
+            while let Ok((at, bytes)) = due.recv() {
+                std::thread::sleep(at.saturating_duration_since(Instant::now()));
+                deliver(&bytes);
+            }
+        });
+        Self { sender }
+    }
+
+    fn send(&self, at: Instant, bytes: &[u8]) {
+        // The line lives as long as its sender.
+        let _ = self.sender.send((at, bytes.to_vec()));
     }
 }
 
@@ -63,24 +109,26 @@
     drop(domains);
     let (switch, domain) = (Arc::clone(switch), domain.to_owned());
     std::thread::spawn(move || {
-        let mut back: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
+        let mut back: HashMap<SocketAddr, DelayLine> = HashMap::new();
         let mut buffer = vec![0; MOST_DATAGRAM];
         while !switch.is_stopped() {
             let Ok((length, source)) = front.recv_from(&mut buffer) else {
                 continue;
             };
-            if switch.is_dropped(source, &domain) {
+            let Some(at) = switch.arrival(source, &domain) else {
                 continue;
-            }
-            let socket = match back.get(&source) {
-                Some(socket) => Arc::clone(socket),
-                None => match open_back(&switch, &front, source, target, &domain) {
-                    Ok(socket) => Arc::clone(back.entry(source).or_insert(socket)),
+            };
+            let line = match back.entry(source) {
+                Entry::Occupied(line) => line.into_mut(),
+                Entry::Vacant(place) => match open_back(&switch, &front, source, target, &domain) {
+                    Ok(socket) => place.insert(DelayLine::start(move |bytes| {
+                        // A lost datagram is what a network does.
+                        let _ = socket.send(bytes);
+                    })),
                     Err(_) => continue,
                 },
             };
-            // A lost datagram is what a network does.
-            let _ = socket.send(&buffer[..length]);
+            line.send(at, &buffer[..length]);
         }
     });
     Ok(())
@@ -101,12 +149,15 @@
     let (reader, domain) = (Arc::clone(&socket), domain.to_owned());
     std::thread::spawn(move || {
         let mut buffer = vec![0; MOST_DATAGRAM];
+        let line = DelayLine::start(move |bytes| {
+            let _ = front.send_to(bytes, source);
+        });
         while !switch.is_stopped() {
             let Ok(length) = reader.recv(&mut buffer) else {
                 continue;
             };
-            if !switch.is_dropped(source, &domain) {
-                let _ = front.send_to(&buffer[..length], source);
+            if let Some(at) = switch.arrival(source, &domain) {
+                line.send(at, &buffer[..length]);
             }
         }
     });
--- a/tests/all/poison.rs
+++ b/tests/all/poison.rs
@@ -73,6 +73,30 @@
     assert!(complete.count() * 10 >= answers.len() * 8);
 }
 
+/// A caller may have its answer and send again before a daemon far away has
+/// heard of the crash.
+#[test]
+fn resends_do_not_overtake_the_news_of_a_crash() {
+    let mut shape = FleetShape::simple(DOMAINS, INSTANCES);
+    shape.rules = "[rule all]\nrank = normal\ncanary = always\n".to_owned();
+    for far in 0..DOMAINS {
+        let mut spec = FleetSpec::new(shape.clone());
+        spec.use_relays = true;
+        let fleet = Fleet::start(spec).expect("a fleet");
+        let domain = format!("domain-{}", far + 1);
+        fleet.relays.set_delay(&domain, Duration::from_millis(60));
+        let order = (far..far + DOMAINS).rev().map(|number| number % DOMAINS);
+        let bodies: Vec<Value> = order
+            .map(|daemon| send(&fleet, daemon, CRASH_TEXT))
+            .collect();
+        let crashes = fleet.server_count("crashes").expect("counts");
+        assert!(
+            (1..=2).contains(&crashes),
+            "{crashes} servers lost, far is {domain}: {bodies:?}"
+        );
+    }
+}
+
 #[test]
 fn suspects_loses_one_replica_of_a_shard_at_most() {
     let fleet = fleet("suspects");
