A server that stays slow is tried less and less often

Cause: a late answer ended a stall, so a server that is 11 times slower was sound again after each answer: every front's next call went there. Change: from two stalls without an answer on time between them on, a late answer ends nothing and the time until the next try doubles up to 2.4 s; the first answer on time is told to the region.

--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -305,17 +305,18 @@
         });
     }
 
-    fn send(&mut self, part: usize, purpose: CallPurpose, permit: LinePermit) {
+    fn send(&mut self, part: usize, purpose: CallPurpose, mut permit: LinePermit) {
         let route = &self.request.route;
         let line = Arc::clone(permit.line());
         let distance = line.distance();
-        let delay = self.parts.times.late_after(route, distance);
+        let late_at = permit.started() + self.parts.times.late_after(route, distance);
+        permit.set_late_at(late_at);
         let progress = &mut self.progress[part];
         progress.tried.push(line.name().clone());
         let call = progress.calls.len();
         progress.calls.push(RunningCall {
             line: Arc::clone(&line),
-            late_at: Some(permit.started() + delay),
+            late_at: Some(late_at),
             is_running: true,
             is_arrived: true,
         });
--- a/crates/front/src/fan_out/part.rs
+++ b/crates/front/src/fan_out/part.rs
@@ -5,6 +5,7 @@
 use crate::stall_news::StallNews;
 use camphorway_daemon::metrics::CallPurpose;
 use camphorway_model::{RequestRoute, ServerName, ServiceName};
+use camphorway_policy::StallChange;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -97,7 +98,7 @@
             if call.late_at.is_some_and(|at| now >= at) {
                 call.late_at = None;
                 if call.line.note_stalled() {
-                    news.tell(&call.line, true);
+                    news.tell(&call.line, StallChange::Began);
                 }
                 self.is_in_doubt = true;
                 any = true;
--- a/crates/front/src/server_call.rs
+++ b/crates/front/src/server_call.rs
@@ -156,8 +156,8 @@
             permit.line().set_misdirected();
         }
         let line = Arc::clone(permit.line());
-        if permit.end(outcome) {
-            self.news.tell(&line, false);
+        if let Some(change) = permit.end(outcome, self.clock.now()) {
+            self.news.tell(&line, change);
         }
         end
     }
--- a/crates/front/src/server_line.rs
+++ b/crates/front/src/server_line.rs
@@ -6,7 +6,7 @@
 use camphorway_daemon::http_client::RequestSender;
 use camphorway_daemon::sync::lock;
 use camphorway_model::{FailureDomain, ServerName, ServerRecord};
-use camphorway_policy::{ReplicaOutcome, ReplicaStats, ServerDistance};
+use camphorway_policy::{ReplicaOutcome, ReplicaStats, ServerDistance, StallChange};
 use derive_more::Debug;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -147,15 +147,10 @@
         is_news
     }
 
-    /// Another front has seen that the server stalls, or that it does no longer.
-    pub fn heard_of_stall(&self, is_stalled: bool) {
+    /// Takes what another front has seen of the server.
+    pub fn heard_of_stall(&self, change: StallChange) {
         let now = self.clock.now();
-        let mut state = self.lock();
-        if is_stalled {
-            state.stats.stalled(now);
-        } else {
-            state.stats.recovered();
-        }
+        self.lock().stats.heard(change, now);
     }
 
     /// Adds the calls and connections to `counts`.
@@ -212,14 +207,18 @@
         self.lock().connecting -= 1;
     }
 
-    /// Counts a call that began at `started` as ended; whether that shows that a
-    /// stall is over.
-    pub(crate) fn end_call(&self, outcome: ReplicaOutcome, started: Instant) -> bool {
+    /// Counts a call that began at `started` as ended; what others should hear of
+    /// the server's stall.
+    pub(crate) fn end_call(
+        &self,
+        outcome: ReplicaOutcome,
+        started: Instant,
+    ) -> Option<StallChange> {
         let now = self.clock.now();
         let took = now.saturating_duration_since(started);
         let mut state = self.lock();
         let was_closed = state.stats.is_closed(now);
-        let is_over = state.stats.ended(outcome, took, now);
+        let change = state.stats.ended(outcome, took, now);
         let is_closed = state.stats.is_closed(now);
         drop(state);
         if was_closed != is_closed {
@@ -232,7 +231,7 @@
                 took_us = took.as_micros()
             );
         }
-        is_over
+        change
     }
 
     fn lock(&self) -> MutexGuard<'_, LineState> {
--- a/crates/front/src/service_lines.rs
+++ b/crates/front/src/service_lines.rs
@@ -6,7 +6,7 @@
 use camphorway_daemon::http_client::RequestSender;
 use camphorway_daemon::sync::lock;
 use camphorway_model::ServerName;
-use camphorway_policy::ReplicaOutcome;
+use camphorway_policy::{ReplicaOutcome, StallChange};
 use derive_more::Debug;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -39,6 +39,8 @@
     line: Arc<ServerLine>,
     shared: Arc<ServiceShared>,
     started: Instant,
+    /// An answer after this time is late.
+    late_at: Option<Instant>,
     outcome: ReplicaOutcome,
     #[debug(skip)]
     connection: Option<RequestSender>,
@@ -122,6 +124,7 @@
             line,
             shared: Arc::clone(&self.shared),
             started: now,
+            late_at: None,
             outcome: ReplicaOutcome::Abandoned,
             connection,
             is_connecting: false,
@@ -221,6 +224,11 @@
         self.started
     }
 
+    /// Notes from when on an answer is late.
+    pub fn set_late_at(&mut self, late_at: Instant) {
+        self.late_at = Some(late_at);
+    }
+
     /// The idle connection that came with the place.
     pub fn take_connection(&mut self) -> Option<RequestSender> {
         self.connection.take()
@@ -241,23 +249,28 @@
         }
     }
 
-    /// Notes how the call ended; whether that shows that a stall is over.
-    pub fn end(mut self, outcome: ReplicaOutcome) -> bool {
-        self.outcome = outcome;
+    /// Notes how the call ended at `now`; what others should hear of the server's
+    /// stall.
+    pub fn end(mut self, outcome: ReplicaOutcome, now: Instant) -> Option<StallChange> {
+        let is_late = self.late_at.is_some_and(|at| now >= at);
+        self.outcome = match outcome {
+            ReplicaOutcome::Answered if is_late => ReplicaOutcome::AnsweredLate,
+            other => other,
+        };
         self.release()
     }
 
-    fn release(&mut self) -> bool {
+    fn release(&mut self) -> Option<StallChange> {
         if std::mem::replace(&mut self.is_released, true) {
-            return false;
+            return None;
         }
         self.end_connecting();
         if let Some(unused) = self.connection.take() {
             self.line.put_idle(unused, None);
         }
-        let is_over = self.line.end_call(self.outcome, self.started);
+        let change = self.line.end_call(self.outcome, self.started);
         self.shared.wake_one();
-        is_over
+        change
     }
 }
 
--- a/crates/front/src/stall_news.rs
+++ b/crates/front/src/stall_news.rs
@@ -11,7 +11,7 @@
 use camphorway_daemon::peer::link::PeerLinks;
 use camphorway_daemon::sync::lock;
 use camphorway_model::{FrontRecord, ServerName, ServiceName};
-use camphorway_policy::{NoticeReach, NoticeRoute};
+use camphorway_policy::{NoticeReach, NoticeRoute, StallChange};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -26,8 +26,8 @@
     pub service: ServiceName,
     /// The server.
     pub server: ServerName,
-    /// Whether it stalls now.
-    pub is_stalled: bool,
+    /// What was seen.
+    pub change: StallChange,
     /// How far the notice has come.
     pub reach: NoticeReach,
 }
@@ -63,11 +63,11 @@
     }
 
     /// Tells the others of a server.
-    pub fn tell(&self, line: &ServerLine, is_stalled: bool) {
+    pub fn tell(&self, line: &ServerLine, change: StallChange) {
         let notice = StallNotice {
             service: line.record().service.clone(),
             server: line.name().clone(),
-            is_stalled,
+            change,
             reach: NoticeReach::Seen,
         };
         self.pass_on(HeardNotice { notice, from: None });
@@ -93,7 +93,7 @@
         let lines = view.services.get(&notice.service);
         let line = lines.and_then(|lines| lines.lines().find(|line| *line.name() == notice.server));
         if let Some(line) = line {
-            line.heard_of_stall(notice.is_stalled);
+            line.heard_of_stall(notice.change);
         }
         self.pass_on(HeardNotice {
             notice,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod replica;
 pub mod silence;
 pub mod split;
+pub mod stall;
 pub mod window_budget;
 
 pub use admission::{AdmissionAsk, AdmissionDecision, EntryAdmission, WaitReport};
@@ -45,4 +46,5 @@
 pub use replica::{ReplicaOutcome, ReplicaStats, ServerDistance};
 pub use silence::SilentPeers;
 pub use split::WeightedSplit;
+pub use stall::{ServerStall, StallChange};
 pub use window_budget::{BudgetLimits, SharedAllowance, WindowBudget};
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -2,11 +2,12 @@
 //! for choosing it.
 //!
 //! All knowledge comes from calls. A call that is late marks the server as
-//! stalled, so that other requests go elsewhere at once; a server that can't be
+//! stalled (see [`crate::stall`]), so that other requests go elsewhere at once; a server that can't be
 //! reached is closed for a time that doubles. The number of calls at once rises
 //! by addition with answers and falls by a factor with signs of overload, as a
 //! congestion window does.
 
+use crate::stall::{ServerStall, StallChange};
 use std::time::{Duration, Instant};
 
 /// Weight of the newest sample in the moving averages.
@@ -15,8 +16,6 @@
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 /// How much a failure rate of 1 multiplies the cost.
 const FAILURE_WEIGHT: f64 = 10.0;
-/// A stall that is not refreshed ends after this time, and one call may try.
-const STALL_LIFETIME: Duration = Duration::from_millis(300);
 /// Cost of a stalled server, in milliseconds.
 const STALL_COST: f64 = 250.0;
 /// Cost of a closed server, in milliseconds: a last resort.
@@ -71,6 +70,8 @@
 pub enum ReplicaOutcome {
     /// A good answer.
     Answered,
+    /// A good answer, later than is usual.
+    AnsweredLate,
     /// The server said that it did not run the call.
     Rejected,
     /// It ran and failed, or the answer was wrong.
@@ -96,7 +97,7 @@
     mean_ms: Option<f64>,
     failure: f64,
     failure_at: Instant,
-    stalled_until: Option<Instant>,
+    stall: ServerStall,
     closed_until: Option<Instant>,
     closed_for: Duration,
     /// Whether a call that tries a closed server again is running.
@@ -115,7 +116,7 @@
             mean_ms: None,
             failure: 0.0,
             failure_at: now,
-            stalled_until: None,
+            stall: ServerStall::default(),
             closed_until: None,
             closed_for: Duration::ZERO,
             is_probing: false,
@@ -140,7 +141,7 @@
 
     /// Whether calls are expected to be answered.
     pub fn is_sound(&self, now: Instant) -> bool {
-        !self.is_stalled(now) && !self.is_closed(now)
+        !self.stall.is_stalled(now) && !self.is_closed(now)
     }
 
     /// The cost of one more call, in milliseconds.
@@ -156,7 +157,7 @@
             1.0
         };
         let mut cost = mean * crowding * failing * cold + self.distance.fixed_cost();
-        if self.is_stalled(now) {
+        if self.stall.is_stalled(now) {
             cost += STALL_COST;
         }
         if self.is_closed(now) {
@@ -168,54 +169,46 @@
     /// A call was sent.
     pub fn started(&mut self, now: Instant) {
         self.outstanding += 1;
-        // The call that follows a closed or stalled time is a probe: until it
-        // ends, no other follows.
+        // The call that follows a closed time is a probe: until it ends, no
+        // other follows.
         if self.closed_until.is_some_and(|until| now >= until) {
             self.closed_until = Some(now + self.closed_for);
             self.is_probing = true;
         }
-        if self.stalled_until.is_some_and(|until| now >= until) {
-            self.stalled_until = Some(now + STALL_LIFETIME);
-        }
+        self.stall.called(now);
     }
 
     /// A call has taken longer than is usual; whether that is news.
     pub fn stalled(&mut self, now: Instant) -> bool {
-        let was_stalled = self.is_stalled(now);
-        self.stalled_until = Some(now + STALL_LIFETIME);
-        !was_stalled
-    }
-
-    /// Another front has seen that the server answers again.
-    pub fn recovered(&mut self) {
-        self.stalled_until = None;
+        self.stall.began(now)
     }
 
-    /// A call ended after `took`; whether that shows that a stall is over.
-    pub fn ended(&mut self, outcome: ReplicaOutcome, took: Duration, now: Instant) -> bool {
-        let was_stalled = self.is_stalled(now);
-        self.note_end(outcome, took, now);
-        was_stalled && self.stalled_until.is_none()
+    /// Takes what another front has seen of the server.
+    pub fn heard(&mut self, change: StallChange, now: Instant) {
+        self.stall.heard(change, now);
     }
 
-    fn note_end(&mut self, outcome: ReplicaOutcome, took: Duration, now: Instant) {
+    /// A call ended after `took`; what others should hear of that.
+    pub fn ended(
+        &mut self,
+        outcome: ReplicaOutcome,
+        took: Duration,
+        now: Instant,
+    ) -> Option<StallChange> {
         self.outstanding = self.outstanding.saturating_sub(1);
         match outcome {
             ReplicaOutcome::Answered => {
-                self.stalled_until = None;
-                self.closed_until = None;
-                self.closed_for = Duration::ZERO;
-                self.is_probing = false;
-                let sample = took.as_secs_f64() * 1_000.0;
-                let mean = self.mean_ms.unwrap_or(sample);
-                self.mean_ms = Some(mean + SMOOTHING * (sample - mean));
-                self.limit = (self.limit + 1.0 / self.limit).min(HIGHEST_LIMIT);
-                self.note_failure(0.0, now);
+                self.note_answer(took, now);
+                return self.stall.answered(false);
+            }
+            ReplicaOutcome::AnsweredLate => {
+                self.note_answer(took, now);
+                return self.stall.answered(true);
             }
             ReplicaOutcome::Rejected => {
-                self.stalled_until = None;
                 self.lower_limit();
                 self.note_failure(1.0, now);
+                return self.stall.answered(true);
             }
             ReplicaOutcome::Reset => {
                 self.lower_limit();
@@ -229,6 +222,18 @@
             }
             ReplicaOutcome::Abandoned => {}
         }
+        None
+    }
+
+    fn note_answer(&mut self, took: Duration, now: Instant) {
+        self.closed_until = None;
+        self.closed_for = Duration::ZERO;
+        self.is_probing = false;
+        let sample = took.as_secs_f64() * 1_000.0;
+        let mean = self.mean_ms.unwrap_or(sample);
+        self.mean_ms = Some(mean + SMOOTHING * (sample - mean));
+        self.limit = (self.limit + 1.0 / self.limit).min(HIGHEST_LIMIT);
+        self.note_failure(0.0, now);
     }
 
     fn lower_limit(&mut self) {
@@ -244,10 +249,6 @@
         self.closed_until = Some(now + self.closed_for);
     }
 
-    fn is_stalled(&self, now: Instant) -> bool {
-        self.stalled_until.is_some_and(|until| now < until)
-    }
-
     /// Whether the server counts as unreachable.
     pub fn is_closed(&self, now: Instant) -> bool {
         self.closed_until.is_some_and(|until| now < until)
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -15,4 +15,5 @@
 mod replica;
 mod silence;
 mod split;
+mod stall;
 mod window_budget;
--- /dev/null
+++ b/crates/policy/tests/all/stall.rs
@@ -0,0 +1,64 @@
+//! Short pauses and servers that stay slow.
+
+use camphorway_policy::{ServerStall, StallChange};
+use std::time::{Duration, Instant};
+
+/// Time in milliseconds until the server is tried again.
+fn left_alone(stall: &ServerStall, now: Instant) -> u64 {
+    let mut waited = 0;
+    while stall.is_stalled(now + Duration::from_millis(waited)) {
+        waited += 50;
+    }
+    waited
+}
+
+#[test]
+fn a_pause_ends_with_an_answer() {
+    let now = Instant::now();
+    let mut stall = ServerStall::default();
+    assert!(stall.began(now));
+    assert!(!stall.began(now), "it is known");
+    assert_eq!(stall.answered(true), Some(StallChange::Ended));
+    assert!(!stall.is_stalled(now));
+    assert_eq!(stall.answered(false), Some(StallChange::OnTime));
+    assert_eq!(stall.answered(false), None);
+}
+
+#[test]
+fn a_server_that_stays_slow_is_tried_less_and_less_often() {
+    let mut now = Instant::now();
+    let mut stall = ServerStall::default();
+    let mut waits = Vec::new();
+    for _ in 0..6 {
+        stall.began(now);
+        now += Duration::from_millis(120);
+        stall.answered(true);
+        let wait = left_alone(&stall, now);
+        waits.push(wait);
+        now += Duration::from_millis(wait);
+        stall.called(now);
+        // The probe is late as well, after its server's stall was renewed.
+        now += Duration::from_millis(10_000);
+    }
+    assert_eq!(waits[0], 0, "the first may be a pause");
+    assert!(waits.windows(2).all(|pair| pair[0] <= pair[1]), "{waits:?}");
+    assert!((1_000..=2_400).contains(&waits[5]), "{waits:?}");
+}
+
+#[test]
+fn an_answer_on_time_clears_a_slow_server_for_all() {
+    let now = Instant::now();
+    let mut here = ServerStall::default();
+    let mut there = ServerStall::default();
+    for second in 0..4 {
+        let at = now + Duration::from_secs(second * 3);
+        here.began(at);
+        there.heard(StallChange::Began, at);
+    }
+    let at = now + Duration::from_secs(9);
+    assert!(here.is_stalled(at) && there.is_stalled(at));
+    assert_eq!(here.answered(false), Some(StallChange::OnTime));
+    there.heard(StallChange::OnTime, at);
+    assert!(!here.is_stalled(at) && !there.is_stalled(at));
+    assert_eq!(there.answered(false), None, "nothing is left to tell");
+}
