The store is asked less: lists that may lag, one watcher a region, a wait for the others

Ruled out: longer watches (a silent connection would be found later). Change: the first list may lag, and is told to peers once the store has confirmed it (a first watch of 300 ms); after it a front waits until it knows the others, 2.5 s at the latest, and 0.6 s more until they know it; a question to a peer that knows nothing yet waits; one front a region asks the store, the first ones of the region's other domains ask that one; a front that starts again replaces its registration before it tries to create one.

--- a/crates/front/src/counted_source.rs
+++ b/crates/front/src/counted_source.rs
@@ -1,7 +1,8 @@
-//! Counts the calls of the store by step and end.
+//! Counts and logs the calls of the store by step and end.
 
 use crate::metrics::FrontMetrics;
-use crate::ports::{SourceError, SourceFeed, SourceItems, TierSource};
+use crate::ports::{ListFreshness, SourceError, SourceFeed, SourceItems, TierSource};
+use camphorway_daemon::event;
 use camphorway_model::FrontRecord;
 use camphorway_policy::ContentHash;
 use std::sync::Arc;
@@ -26,6 +27,7 @@
     fn counted<Output>(
         &self,
         step: &str,
+        feed: SourceFeed,
         result: Result<Output, SourceError>,
     ) -> Result<Output, SourceError> {
         let end = match &result {
@@ -33,6 +35,7 @@
             Err(error) => error.kind(),
         };
         self.metrics.called_store(step, end);
+        event!(Debug, "store-called", step = step, feed = feed, end = end);
         result
     }
 }
@@ -41,8 +44,12 @@
 where
     Source: TierSource,
 {
-    async fn list(&self, feed: SourceFeed) -> Result<SourceItems, SourceError> {
-        self.counted("list", self.source.list(feed).await)
+    async fn list(
+        &self,
+        feed: SourceFeed,
+        freshness: ListFreshness,
+    ) -> Result<SourceItems, SourceError> {
+        self.counted("list", feed, self.source.list(feed, freshness).await)
     }
 
     async fn watch(
@@ -51,22 +58,31 @@
         revision: u64,
         wait: Duration,
     ) -> Result<SourceItems, SourceError> {
-        self.counted("watch", self.source.watch(feed, revision, wait).await)
+        self.counted("watch", feed, self.source.watch(feed, revision, wait).await)
     }
 
-    async fn register(&self, front: &FrontRecord) -> Result<(), SourceError> {
-        self.counted("register", self.source.register(front).await)
+    async fn register(&self, front: &FrontRecord, may_stand: bool) -> Result<(), SourceError> {
+        let registered = self.source.register(front, may_stand).await;
+        self.counted("register", SourceFeed::Fronts, registered)
     }
 
     async fn deregister(&self, front: &FrontRecord) -> Result<(), SourceError> {
-        self.counted("deregister", self.source.deregister(front).await)
+        self.counted(
+            "deregister",
+            SourceFeed::Fronts,
+            self.source.deregister(front).await,
+        )
     }
 
     async fn hold(&self, content: ContentHash) -> Result<(), SourceError> {
-        self.counted("hold", self.source.hold(content).await)
+        self.counted("hold", SourceFeed::Held, self.source.hold(content).await)
     }
 
     async fn release(&self, content: ContentHash) -> Result<(), SourceError> {
-        self.counted("release", self.source.release(content).await)
+        self.counted(
+            "release",
+            SourceFeed::Held,
+            self.source.release(content).await,
+        )
     }
 }
--- a/crates/front/src/feed.rs
+++ b/crates/front/src/feed.rs
@@ -2,7 +2,7 @@
 //! that is best at the time.
 
 use crate::knowledge::{FeedAsk, FeedKnowledge, FeedReply};
-use crate::ports::{SourceError, SourceFeed, SourceItems, TierSource};
+use crate::ports::{ListFreshness, SourceError, SourceFeed, SourceItems, TierSource};
 use async_channel::Sender;
 use camphorway_daemon::clock::DaemonClock;
 use camphorway_daemon::event;
@@ -22,6 +22,16 @@
 /// A peer that doesn't answer within this time beside the wait is passed over.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// After its first list a front waits this long at most until it knows the
+/// others, which it asks in place of the store.
+const SETTLING_TIME: Duration = Duration::from_millis(2_500);
+const SETTLING_CHECK: Duration = Duration::from_millis(100);
+/// Once a front knows the others, they know it within this time.
+const SETTLING_SPREAD: Duration = Duration::from_millis(600);
+
+/// The store confirms a list that may lag after this time, if nothing changes.
+const CONFIRM_WAIT: Duration = Duration::from_millis(300);
+
 /// What is learned from a feed.
 #[derive(Debug)]
 pub enum FeedNews {
@@ -89,10 +99,10 @@
     pub order: FeedOrder,
 }
 
-/// Items, and when the store confirmed them.
+/// Items, and when the store confirmed them; none if it may lag.
 struct FreshItems {
     items: SourceItems,
-    confirmed: Instant,
+    confirmed: Option<Instant>,
 }
 
 impl<Source> FeedFollower<Source>
@@ -103,24 +113,31 @@
     pub async fn run(mut self) {
         let mut backoff = FIRST_BACKOFF;
         let mut revision = None;
+        // What is old in the first list, the changes after it mend.
+        let mut freshness = ListFreshness::MayLag;
         let mut is_lost = false;
         while !self.parts.stop.is_cancelled() {
-            match self.step(revision).await {
+            match self.step(revision, freshness).await {
                 Ok(fresh) => {
                     backoff = FIRST_BACKOFF;
                     if std::mem::take(&mut is_lost) {
                         event!(Info, "store-regained", feed = self.feed);
                         self.tell(FeedNews::Regained(self.feed)).await;
                     }
-                    let is_change = revision.is_some() && !fresh.items.items.is_empty();
+                    freshness = ListFreshness::Latest;
+                    let is_first = revision.is_none();
+                    let is_change = !is_first && !fresh.items.items.is_empty();
                     revision = Some(self.take(fresh, revision).await);
-                    if is_change {
+                    if is_first {
+                        self.wait_for_members().await;
+                    } else if is_change {
                         self.parts.clock.sleep(CHANGE_PAUSE).await;
                     }
                 }
                 Err(SourceError::HistoryGone) => {
                     event!(Info, "store-history-gone", feed = self.feed);
                     revision = None;
+                    freshness = ListFreshness::Latest;
                 }
                 Err(error) => {
                     if !is_lost {
@@ -137,13 +154,33 @@
         }
     }
 
+    /// All fronts may start at once: until they know each other, each would ask
+    /// the store for every change.
+    async fn wait_for_members(&self) {
+        let clock = &self.parts.clock;
+        let limit = clock.now() + SETTLING_TIME.min(self.times.most_age);
+        while lock(&self.parts.members).is_empty()
+            && clock.now() < limit
+            && !self.parts.stop.is_cancelled()
+        {
+            clock.sleep(SETTLING_CHECK).await;
+        }
+        clock
+            .sleep_until(limit.min(clock.now() + SETTLING_SPREAD))
+            .await;
+    }
+
     /// Asks the origins in turn; the last error if none has an answer.
-    async fn step(&mut self, revision: Option<u64>) -> Result<FreshItems, SourceError> {
+    async fn step(
+        &mut self,
+        revision: Option<u64>,
+        freshness: ListFreshness,
+    ) -> Result<FreshItems, SourceError> {
         let members = lock(&self.parts.members).clone();
         let mut last = None;
         for origin in self.order.origins(&members, self.parts.clock.now()) {
             let result = match &origin {
-                FeedOrigin::Store => self.ask_store(revision).await,
+                FeedOrigin::Store => self.ask_store(revision, freshness).await,
                 FeedOrigin::Peer(_, address) => self.ask_peer(*address, revision).await,
             };
             match (result, origin) {
@@ -159,17 +196,26 @@
         Err(last.unwrap_or(SourceError::HistoryGone))
     }
 
-    async fn ask_store(&self, revision: Option<u64>) -> Result<FreshItems, SourceError> {
+    async fn ask_store(
+        &self,
+        revision: Option<u64>,
+        freshness: ListFreshness,
+    ) -> Result<FreshItems, SourceError> {
         let source = &self.parts.source;
         let items = match revision {
-            None => source.list(self.feed).await?,
+            None => source.list(self.feed, freshness).await?,
             Some(revision) => {
-                source
-                    .watch(self.feed, revision, self.times.store_wait)
-                    .await?
+                let is_confirmed = self.parts.knowledge.is_confirmed(self.feed);
+                let wait = if is_confirmed {
+                    self.times.store_wait
+                } else {
+                    CONFIRM_WAIT
+                };
+                source.watch(self.feed, revision, wait).await?
             }
         };
-        let confirmed = self.parts.clock.now();
+        let may_lag = revision.is_none() && freshness == ListFreshness::MayLag;
+        let confirmed = (!may_lag).then(|| self.parts.clock.now());
         Ok(FreshItems { items, confirmed })
     }
 
@@ -204,7 +250,7 @@
                     return Err(failed(format!("what it knows is {age_ms} ms old")));
                 }
                 let now = self.parts.clock.now();
-                let confirmed = now.checked_sub(age).unwrap_or(now);
+                let confirmed = Some(now.checked_sub(age).unwrap_or(now));
                 Ok(FreshItems { items, confirmed })
             }
         }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -8,7 +8,7 @@
 use crate::feed::{FeedFollower, FeedParts, FeedTimes};
 use crate::gauges::FrontGauges;
 use crate::knowledge::FeedKnowledge;
-use crate::membership;
+use crate::membership::{self, OwnFront};
 use crate::metrics::FrontMetrics;
 use crate::peer_port::PeerPort;
 use crate::ports::{SourceFeed, TierSource, WireDialect};
@@ -252,16 +252,19 @@
             parts: Arc::clone(&parts),
             feed,
             times: FeedTimes::within(bound),
-            order: FeedOrder::new(&self.settings.vm, &self.settings.domain),
+            order: FeedOrder::new(&self.own, &self.settings.regions),
         };
         let settings = &self.settings;
         let configuration = follower(SourceFeed::Configuration, settings.in_force);
         let servers = follower(SourceFeed::Servers, settings.leave);
         let fronts = follower(SourceFeed::Fronts, FRONTS_BOUND);
         let held_feed = follower(SourceFeed::Held, FRONTS_BOUND);
-        let order = FeedOrder::new(&settings.vm, &settings.domain);
+        let order = FeedOrder::new(&self.own, &settings.regions);
         let (held, heard) = async_channel::unbounded();
-        let own = self.own.clone();
+        let own = OwnFront {
+            record: self.own.clone(),
+            is_restart: settings.is_restart,
+        };
         let control = FrontControl::new(ControlParts {
             view: Arc::clone(&self.view),
             lines: LineSettings {
--- a/crates/front/src/knowledge.rs
+++ b/crates/front/src/knowledge.rs
@@ -58,8 +58,9 @@
 }
 
 impl FeedKnowledge {
-    /// Takes all items, as the store confirmed them at `confirmed`.
-    pub fn take_all(&self, feed: SourceFeed, items: &SourceItems, confirmed: Instant) {
+    /// Takes all items, as the store confirmed them at `confirmed`; none if they
+    /// may be old, which peers are not told before the store has confirmed them.
+    pub fn take_all(&self, feed: SourceFeed, items: &SourceItems, confirmed: Option<Instant>) {
         let mut known = self.lock(feed);
         known.items.clear();
         known.changes.clear();
@@ -68,7 +69,7 @@
     }
 
     /// Takes changes since the revision before.
-    pub fn take_changes(&self, feed: SourceFeed, items: &SourceItems, confirmed: Instant) {
+    pub fn take_changes(&self, feed: SourceFeed, items: &SourceItems, confirmed: Option<Instant>) {
         let mut known = self.lock(feed);
         for item in &items.items {
             known.changes.push_back((items.revision, item.clone()));
@@ -81,7 +82,12 @@
         known.apply(items, confirmed);
     }
 
-    /// The age of what is known; none before anything is.
+    /// Whether the store has confirmed what is known.
+    pub fn is_confirmed(&self, feed: SourceFeed) -> bool {
+        self.lock(feed).confirmed.is_some()
+    }
+
+    /// The age of what is known; none before the store has confirmed it.
     pub fn age(&self, feed: SourceFeed, now: Instant) -> Option<Duration> {
         let confirmed = self.lock(feed).confirmed?;
         Some(now.saturating_duration_since(confirmed))
@@ -91,7 +97,7 @@
     pub fn answer(&self, ask: &FeedAsk, now: Instant) -> Option<FeedReply> {
         let known = self.lock(ask.feed);
         let (Some(revision), Some(confirmed)) = (known.revision, known.confirmed) else {
-            return Some(FeedReply::NotKnown);
+            return None;
         };
         let items = match ask.after {
             None => known.items.values().cloned().collect(),
@@ -110,7 +116,7 @@
         Some(told(items, revision, confirmed, now))
     }
 
-    /// The answer to a peer that has waited: nothing has changed.
+    /// The answer to a peer that has waited: nothing has changed, or is known.
     pub fn unchanged(&self, feed: SourceFeed, now: Instant) -> FeedReply {
         let known = self.lock(feed);
         match (known.revision, known.confirmed) {
@@ -134,7 +140,7 @@
 }
 
 impl KnownFeed {
-    fn apply(&mut self, items: &SourceItems, confirmed: Instant) {
+    fn apply(&mut self, items: &SourceItems, confirmed: Option<Instant>) {
         for item in &items.items {
             match item {
                 // What can't be read, nobody can use, and its reader has logged it.
@@ -153,8 +159,10 @@
             }
         }
         self.revision = Some(items.revision);
-        self.confirmed = Some(confirmed);
-        if !items.items.is_empty() {
+        let was_confirmed = self.confirmed.is_some();
+        self.confirmed = confirmed;
+        let is_first_confirmed = !was_confirmed && confirmed.is_some();
+        if !items.items.is_empty() || is_first_confirmed {
             for waiting in self.waiting.drain(..) {
                 // The peer may have given up waiting.
                 let _ = waiting.try_send(());
--- a/crates/front/src/membership.rs
+++ b/crates/front/src/membership.rs
@@ -20,11 +20,20 @@
 const RELEASE_AFTER: Duration = Duration::from_secs(90);
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// This front, as it registers itself.
+#[derive(Clone, Debug)]
+pub struct OwnFront {
+    /// What the others need to know of it.
+    pub record: FrontRecord,
+    /// Whether it may have been registered before.
+    pub is_restart: bool,
+}
+
 /// Registers this front, then follows the others and what they hold until
 /// stopped.
 pub async fn run<Source>(
     parts: Arc<FeedParts<Source>>,
-    own: FrontRecord,
+    own: OwnFront,
     fronts: FeedFollower<Source>,
     held: FeedFollower<Source>,
 ) where
@@ -44,14 +53,20 @@
     future::zip(fronts.run(), held).await;
 }
 
-async fn register<Source>(parts: &FeedParts<Source>, own: &FrontRecord)
+async fn register<Source>(parts: &FeedParts<Source>, own: &OwnFront)
 where
     Source: TierSource,
 {
     while !parts.stop.is_cancelled() {
-        match parts.source.register(own).await {
+        let OwnFront { record, is_restart } = own;
+        match parts.source.register(record, *is_restart).await {
             Ok(()) => {
-                event!(Info, "front-registered", vm = own.vm, address = own.address);
+                event!(
+                    Info,
+                    "front-registered",
+                    vm = record.vm,
+                    address = record.address
+                );
                 return;
             }
             Err(error) => event!(Warn, "front-not-registered", error = error),
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -174,6 +174,15 @@
     }
 }
 
+/// How new a list has to be.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ListFreshness {
+    /// It has all that the store has acknowledged.
+    Latest,
+    /// It may be seconds old, and costs the store less.
+    MayLag,
+}
+
 /// Items of a feed, and the revision from which later changes can be read.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct SourceItems {
@@ -219,6 +228,7 @@
     fn list(
         &self,
         feed: SourceFeed,
+        freshness: ListFreshness,
     ) -> impl Future<Output = Result<SourceItems, SourceError>> + Send;
 
     /// Waits up to `wait` for changes after `revision`.
@@ -229,9 +239,13 @@
         wait: Duration,
     ) -> impl Future<Output = Result<SourceItems, SourceError>> + Send;
 
-    /// Makes a front known; what stood under its name is replaced.
-    fn register(&self, front: &FrontRecord)
-    -> impl Future<Output = Result<(), SourceError>> + Send;
+    /// Makes a front known; what stood under its name is replaced. `may_stand`
+    /// says that something is likely to stand there.
+    fn register(
+        &self,
+        front: &FrontRecord,
+        may_stand: bool,
+    ) -> impl Future<Output = Result<(), SourceError>> + Send;
 
     /// Takes a front's registration back.
     fn deregister(
--- a/crates/policy/src/feed_order.rs
+++ b/crates/policy/src/feed_order.rs
@@ -1,12 +1,13 @@
 //! From whom a front learns what changes in the store.
 //!
-//! One front of each failure domain asks the store itself; the others ask that
-//! one, then the next, then the store. Who is first follows from rendezvous
+//! One front of each region asks the store itself. In each other failure domain
+//! of the region one asks that one, and the rest of a domain ask their own first,
+//! then the next, then the store. Who is first follows from rendezvous
 //! hashing (Thaler and Ravishankar, 1998) over the members that are known, so
 //! nobody is elected. Fronts that disagree cost a few calls and nothing else.
 
 use camphorway_model::{FailureDomain, FrontRecord, VmName};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::Xxh3;
@@ -28,17 +29,17 @@
 /// Orders the origins of one feed.
 #[derive(Clone, Debug)]
 pub struct FeedOrder {
-    own: VmName,
-    domain: FailureDomain,
+    own: FrontRecord,
+    regions: HashMap<FailureDomain, String>,
     failed: HashMap<VmName, Instant>,
 }
 
 impl FeedOrder {
-    /// An order for this front.
-    pub fn new(own: &VmName, domain: &FailureDomain) -> Self {
+    /// An order for the front `own`; `regions` tells which domains are near.
+    pub fn new(own: &FrontRecord, regions: &HashMap<FailureDomain, String>) -> Self {
         Self {
             own: own.clone(),
-            domain: domain.clone(),
+            regions: regions.clone(),
             failed: HashMap::new(),
         }
     }
@@ -48,9 +49,9 @@
         self.failed.insert(peer.clone(), now);
     }
 
-    /// Whether this front asks the store before any peer.
+    /// Whether this front is the first of its failure domain.
     pub fn is_first(&self, members: &[FrontRecord]) -> bool {
-        first_of(&self.domain, members).is_none_or(|first| first.vm == self.own)
+        first_of(&self.own.domain, members).is_none_or(|first| first.vm == self.own.vm)
     }
 
     /// The origins to try, in order. The last is in another failure domain: it
@@ -61,8 +62,9 @@
         let origin = |member: &&FrontRecord| FeedOrigin::Peer(member.vm.clone(), member.address);
         let is_usable = |member: &&FrontRecord| !self.failed.contains_key(&member.vm);
         let near = self.ranked(members, true);
-        let before_own = near.iter().take_while(|member| member.vm != self.own);
+        let before_own = near.iter().take_while(|member| member.vm != self.own.vm);
         let peers = before_own.take(NEAR_PEERS).copied();
+        let peers = peers.chain(self.region_first(members));
         let mut origins: Vec<FeedOrigin> = peers
             .filter(is_usable)
             .map(|member| origin(&member))
@@ -78,15 +80,30 @@
         origins
     }
 
+    /// The front of the own region that asks the store, for the firsts of the
+    /// region's other failure domains.
+    fn region_first<'members>(
+        &self,
+        members: &'members [FrontRecord],
+    ) -> Option<&'members FrontRecord> {
+        let region = self.regions.get(&self.own.domain)?;
+        let is_near = |member: &&FrontRecord| self.regions.get(&member.domain) == Some(region);
+        let domains: BTreeSet<_> = members.iter().filter(is_near).map(|m| &m.domain).collect();
+        let domain = domains.first()?;
+        let first = first_of(domain, members)?;
+        let asks_it = self.is_first(members) && first.vm != self.own.vm;
+        asks_it.then_some(first)
+    }
+
     /// Members of the own failure domain, or of the others, the first one first.
     fn ranked<'members>(
         &self,
         members: &'members [FrontRecord],
         is_near: bool,
     ) -> Vec<&'members FrontRecord> {
-        let wanted = |member: &&FrontRecord| (member.domain == self.domain) == is_near;
+        let wanted = |member: &&FrontRecord| (member.domain == self.own.domain) == is_near;
         let mut ranked: Vec<&FrontRecord> = members.iter().filter(wanted).collect();
-        ranked.sort_by_key(|member| std::cmp::Reverse(score(&self.domain, &member.vm)));
+        ranked.sort_by_key(|member| std::cmp::Reverse(score(&self.own.domain, &member.vm)));
         ranked
     }
 }
--- a/tests/all/front/logs.rs
+++ b/tests/all/front/logs.rs
@@ -106,6 +106,9 @@
     );
 }
 
+/// A front that has just started asks the store again within this time.
+const CONFIRMED_WITHIN: Duration = Duration::from_secs(4);
+
 /// Queues, connections, budget, knowledge and the store's calls can be read.
 #[test]
 fn metrics_tell_the_state_of_a_front() {
@@ -114,7 +117,16 @@
         let answer = stage.ask(0, "GET", "/s0/", &new_id()).expect("an answer");
         assert_eq!(answer.status(), 200);
     }
-    let metrics = stage.fronts[0].metrics().expect("metrics");
+    // The age is known once the store has confirmed the first list.
+    let began = Instant::now();
+    let metrics = loop {
+        let metrics = stage.fronts[0].metrics().expect("metrics");
+        if metrics.contains("front_feed_age_milliseconds{feed=\"servers\"}") {
+            break metrics;
+        }
+        assert!(began.elapsed() < CONFIRMED_WITHIN, "{metrics}");
+        std::thread::sleep(Duration::from_millis(50));
+    };
     let value = |name: &str| -> i64 {
         let line = metrics.lines().find_map(|line| line.strip_prefix(name));
         let line = line.unwrap_or_else(|| panic!("{name} is missing in {metrics}"));
