After a restart servers are used as they come back

Ruled out: the list that may lag alone; the watch right after it brings what is new. Change: a front that starts again goes on with the servers at once; only a first start waits. Test: front::store_faults::servers_that_return_after_a_restart_are_used_soon.

--- a/crates/front/src/feed.rs
+++ b/crates/front/src/feed.rs
@@ -97,6 +97,8 @@
     pub times: FeedTimes,
     /// Orders the origins.
     pub order: FeedOrder,
+    /// Whether the first list is enough until the other fronts are known.
+    pub can_settle: bool,
 }
 
 /// Items, and when the store confirmed them; none if it may lag.
@@ -128,7 +130,7 @@
                     let is_first = revision.is_none();
                     let is_change = !is_first && !fresh.items.items.is_empty();
                     revision = Some(self.take(fresh, revision).await);
-                    if is_first {
+                    if is_first && self.can_settle {
                         self.wait_for_members().await;
                     } else if is_change {
                         self.parts.clock.sleep(CHANGE_PAUSE).await;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -248,13 +248,15 @@
             clock: self.clock.clone(),
             stop: self.stop_all.clone(),
         });
+        let settings = &self.settings;
         let follower = |feed, bound| FeedFollower {
             parts: Arc::clone(&parts),
             feed,
             times: FeedTimes::within(bound),
-            order: FeedOrder::new(&self.own, &self.settings.regions),
+            order: FeedOrder::new(&self.own, &settings.regions),
+            // After an outage servers come back one by one, and callers wait.
+            can_settle: !(settings.is_restart && feed == SourceFeed::Servers),
         };
-        let settings = &self.settings;
         let configuration = follower(SourceFeed::Configuration, settings.in_force);
         let servers = follower(SourceFeed::Servers, settings.leave);
         let fronts = follower(SourceFeed::Fronts, FRONTS_BOUND);
--- a/tests/all/front/store_faults.rs
+++ b/tests/all/front/store_faults.rs
@@ -54,6 +54,30 @@
     assert!(!arrivals.is_empty(), "the one that is back serves");
 }
 
+/// All registrations have lapsed while the store was away, and the front starts
+/// again: it uses each server soon after its return.
+#[test]
+fn servers_that_return_after_a_restart_are_used_soon() {
+    let mut stage = stage(1, 0);
+    for server in &stage.servers[0] {
+        stage.store.remove("servers", &server.name);
+    }
+    stage.budget = "ratio = 0.2\nrestart = true\n";
+    stage.add_front("a").expect("a front");
+    stage.wait_ready().expect("it knows the routes");
+    stage.register(&stage.servers[0][0], "service0", "a", "ready");
+    let back = Instant::now();
+    while stage
+        .ask(0, "GET", "/s0/", &new_id())
+        .expect("an answer")
+        .status()
+        != 200
+    {
+        assert!(back.elapsed() < Duration::from_millis(500), "not used yet");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 #[test]
 fn a_forgotten_history_is_listed_again() {
     let mut stage = stage(1, 1);
