The cost of a failure is a time, not a factor

Ruled out: the smoothing alone; at 0.2 one failure would keep a server away for 2.6 s. Change: a failure rate of 1 costs 400 ms, since a failed part may cost a query the answer; its newest sample counts for 0.1.

--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -14,8 +14,11 @@
 const SMOOTHING: f64 = 0.2;
 /// Time in which a failure rate halves without new calls.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
-/// How much a failure rate of 1 multiplies the cost.
-const FAILURE_WEIGHT: f64 = 10.0;
+/// Weight of the newest sample in the failure rate.
+const FAILURE_SMOOTHING: f64 = 0.1;
+/// Cost of a failure, in milliseconds: a part that failed may cost its query the
+/// answer.
+const FAILURE_COST: f64 = 400.0;
 /// Cost of a stalled server, in milliseconds.
 const STALL_COST: f64 = 250.0;
 /// Cost of a closed server, in milliseconds: a last resort.
@@ -150,13 +153,13 @@
             .mean_ms
             .unwrap_or_else(|| self.distance.first_estimate());
         let crowding = 1.0 + f64::from(self.outstanding) / f64::from(self.slots);
-        let failing = 1.0 + FAILURE_WEIGHT * self.failure_rate(now);
+        let failing = FAILURE_COST * self.failure_rate(now);
         let cold = if now < self.cold_until {
             COLD_FACTOR
         } else {
             1.0
         };
-        let mut cost = mean * crowding * failing * cold + self.distance.fixed_cost();
+        let mut cost = mean * crowding * cold + failing + self.distance.fixed_cost();
         if self.stall.is_stalled(now) {
             cost += STALL_COST;
         }
@@ -261,7 +264,7 @@
 
     fn note_failure(&mut self, sample: f64, now: Instant) {
         let rate = self.failure_rate(now);
-        self.failure = rate + SMOOTHING * (sample - rate);
+        self.failure = rate + FAILURE_SMOOTHING * (sample - rate);
         self.failure_at = now;
     }
 }
