A server's rejection is told to the region like a stall

Change: a rejection begins a stall, which the first answer on time ends for all. Test: replica::a_rejection_is_told_and_an_answer_takes_it_back.

--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -208,10 +208,11 @@
                 self.note_answer(took, now);
                 return self.stall.answered(true);
             }
+            // It sheds load, from all callers: others need not find out.
             ReplicaOutcome::Rejected => {
                 self.lower_limit();
                 self.note_failure(1.0, now);
-                return self.stall.answered(true);
+                return self.stall.began(now).then_some(StallChange::Began);
             }
             ReplicaOutcome::Reset => {
                 self.lower_limit();
--- a/crates/policy/tests/all/replica.rs
+++ b/crates/policy/tests/all/replica.rs
@@ -1,6 +1,6 @@
 //! What calls show of a server decides what it costs.
 
-use camphorway_policy::{ReplicaOutcome, ReplicaStats, ServerDistance};
+use camphorway_policy::{ReplicaOutcome, ReplicaStats, ServerDistance, StallChange};
 use std::time::{Duration, Instant};
 
 const TOOK: Duration = Duration::from_millis(10);
@@ -85,6 +85,35 @@
     assert!(later < 1.1 * before, "{later} {before}");
 }
 
+/// A server that sheds load does so for all; an answer on time shows its end.
+#[test]
+fn a_rejection_is_told_and_an_answer_takes_it_back() {
+    let now = Instant::now();
+    let mut near = stats(ServerDistance::Near, now);
+    near.started(now);
+    let told = near.ended(ReplicaOutcome::Rejected, TOOK, now);
+    assert_eq!(told, Some(StallChange::Began));
+    assert!(!near.is_sound(now));
+    near.started(now);
+    let told = near.ended(ReplicaOutcome::Answered, TOOK, now);
+    assert_eq!(told, Some(StallChange::OnTime));
+    assert!(near.is_sound(now));
+}
+
+#[test]
+fn one_failure_makes_a_near_server_dearer_than_a_far_one_for_a_while() {
+    let now = Instant::now();
+    let mut near = stats(ServerDistance::Near, now);
+    let mut far = stats(ServerDistance::Far, now);
+    answered(&mut near, TOOK, now);
+    answered(&mut far, Duration::from_millis(35), now);
+    near.started(now);
+    near.ended(ReplicaOutcome::Failed, TOOK, now);
+    assert!(near.cost(now) > far.cost(now));
+    let later = now + Duration::from_secs(2);
+    assert!(near.cost(later) < far.cost(later));
+}
+
 #[test]
 fn a_call_that_was_given_up_says_nothing() {
     let now = Instant::now();
