Stand-ins' ports: no process starts while a port is tried out

A process that is just being started holds copies of all sockets until its program begins, also of the one that tries a port out, so the stand-in that got the port could not listen. Ruled out: a block of ports shared by two test processes (each holds a lock). Log of the failed stand-ins was not kept, so the cause is concluded from that.

--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -2,10 +2,10 @@
 //! for choosing it.
 //!
 //! All knowledge comes from calls. A call that is late marks the server as
-//! stalled (see [`crate::stall`]), so that other requests go elsewhere at once; a server that can't be
-//! reached is closed for a time that doubles. The number of calls at once rises
-//! by addition with answers and falls by a factor with signs of overload, as a
-//! congestion window does.
+//! stalled (see [`crate::stall`]), so that other requests go elsewhere at once; a
+//! server that can't be reached is closed for a time that doubles. The number of
+//! calls at once rises by addition with answers and falls by a factor with signs of
+//! overload, as a congestion window does.
 
 use crate::stall::{ServerStall, StallChange};
 use std::time::{Duration, Instant};
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -109,6 +109,21 @@
     pub process: FleetProcess,
 }
 
+impl FleetServers {
+    /// Waits until the process answers; the error has what it wrote.
+    fn wait_ready(&mut self) -> io::Result<()> {
+        let control = self.control;
+        let ready = wait_for(|| http::get(control, "/counts").is_ok(), "backend servers");
+        ready.map_err(|error| {
+            let ended = self.process.wait(Duration::ZERO);
+            let wrote = self.process.log();
+            io::Error::other(format!(
+                "{error}: control {control}, exit code {ended:?}, wrote {wrote:?}"
+            ))
+        })
+    }
+}
+
 /// A running fleet.
 #[derive(Debug)]
 pub struct Fleet {
@@ -219,11 +234,8 @@
             let servers = self.spawn_servers(names)?;
             self.servers.push(servers);
         }
-        for servers in &self.servers {
-            wait_for(
-                || http::get(servers.control, "/counts").is_ok(),
-                "backend servers",
-            )?;
+        for servers in &mut self.servers {
+            servers.wait_ready()?;
         }
         Ok(())
     }
@@ -265,8 +277,7 @@
         let names = self.servers[index].names.clone();
         self.servers[index].process.kill();
         self.servers[index] = self.spawn_servers(names)?;
-        let control = self.servers[index].control;
-        wait_for(|| http::get(control, "/counts").is_ok(), "backend servers")
+        self.servers[index].wait_ready()
     }
 
     fn add_daemons(&mut self) -> io::Result<()> {
@@ -334,13 +345,14 @@
         let daemon = &mut self.daemons[index];
         let log = self.directory.join(format!("{}.log", daemon.vm));
         let file = File::options().create(true).append(true).open(&log)?;
-        let child = Command::new(self.binaries.join("camphorwayd"))
-            .arg("--settings")
-            .arg(&daemon.settings)
-            .stdin(Stdio::null())
-            .stdout(file.try_clone()?)
-            .stderr(file)
-            .spawn()?;
+        let child = ports::spawn_apart(
+            Command::new(self.binaries.join("camphorwayd"))
+                .arg("--settings")
+                .arg(&daemon.settings)
+                .stdin(Stdio::null())
+                .stdout(file.try_clone()?)
+                .stderr(file),
+        )?;
         daemon.process = Some(FleetProcess::new(child, log));
         Ok(())
     }
--- a/crates/standins/src/fleet/ports.rs
+++ b/crates/standins/src/fleet/ports.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::process::{Child, Command};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -76,6 +77,13 @@
     ))
 }
 
+/// Starts a process while no port is tried out: a new process holds copies of all
+/// sockets until its program begins, so a port that was found free would be taken.
+pub(super) fn spawn_apart(command: &mut Command) -> io::Result<Child> {
+    let _blocks = BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
+
 /// A loopback address whose port is free for TCP and UDP.
 pub fn free_address() -> SocketAddr {
     let mut blocks = BLOCKS.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/standins/src/fleet/process.rs
+++ b/crates/standins/src/fleet/process.rs
@@ -1,6 +1,6 @@
 //! Processes that a fleet starts and ends, each by its id.
 
-use super::ports::free_address;
+use super::ports::{free_address, spawn_apart};
 use rustix::process::{Pid, Signal, kill_process};
 use std::fs::{self, File};
 use std::io;
@@ -55,12 +55,13 @@
     pub fn spawn(program: &Path, arguments: &[&str], directory: &Path) -> io::Result<Self> {
         let log = directory.join(format!("process-{}.log", free_address().port()));
         let file = File::create(&log)?;
-        let child = Command::new(program)
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(file.try_clone()?)
-            .stderr(file)
-            .spawn()?;
+        let child = spawn_apart(
+            Command::new(program)
+                .args(arguments)
+                .stdin(Stdio::null())
+                .stdout(file.try_clone()?)
+                .stderr(file),
+        )?;
         Ok(Self::new(child, log))
     }
 
@@ -70,12 +71,13 @@
     /// Returns the system's error.
     pub fn spawn_unread(program: &Path, arguments: &[&str], directory: &Path) -> io::Result<Self> {
         let log = directory.join(format!("process-{}.log", free_address().port()));
-        let child = Command::new(program)
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(File::create(&log)?)
-            .spawn()?;
+        let child = spawn_apart(
+            Command::new(program)
+                .args(arguments)
+                .stdin(Stdio::null())
+                .stdout(Stdio::piped())
+                .stderr(File::create(&log)?),
+        )?;
         Ok(Self::new(child, log))
     }
 
@@ -97,13 +99,15 @@
     /// Waits at most `limit` for the end; its exit code if it ended.
     pub fn wait(&mut self, limit: Duration) -> Option<i32> {
         let began = Instant::now();
-        while began.elapsed() < limit {
+        loop {
             if let Ok(Some(status)) = self.child.try_wait() {
                 return status.code();
             }
+            if began.elapsed() >= limit {
+                return None;
+            }
             std::thread::sleep(POLL);
         }
-        None
     }
 
     /// The file that the process writes to.
@@ -134,11 +138,12 @@
 ) -> io::Result<FleetProcess> {
     let log = directory.join(format!("{name}-{}.log", free_address().port()));
     let file = File::create(&log)?;
-    let child = Command::new(binaries.join("examples").join(name))
-        .args(arguments)
-        .stdin(Stdio::piped())
-        .stdout(Stdio::null())
-        .stderr(file)
-        .spawn()?;
+    let child = spawn_apart(
+        Command::new(binaries.join("examples").join(name))
+            .args(arguments)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::null())
+            .stderr(file),
+    )?;
     Ok(FleetProcess::new(child, log))
 }
