--- a/crates/policy/src/stall.rs
+++ b/crates/policy/src/stall.rs
@@ -15,7 +15,7 @@
 const SLOW_STREAK: u32 = 2;
 
 /// What is told of a server's stall.
-#[derive(Clone, Copy, Debug, derive_more::Display, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, derive_more::Display, Eq, PartialEq, Serialize)]
 pub enum StallChange {
     /// A call takes longer than is usual.
     #[display("began")]
