Logs and metrics that tell the hypotheses of the first matter apart

The logs did not say from which origin a front had a change, nor how old the origin's knowledge was, so a late change by origins that are given up one after the other (hypothesis 1 of docs/incidents/late-configuration.md) looked like one by a wrong age (2). Nor did they say how many crashes of a content a front knew (hypothesis 1 of crashing-content-at-many-fronts.md).

Added: feed-changed (feed, origin, revision, items, age), crashes= in server-crash, gauge front_contents{state}. No decision is changed.

--- a/crates/front/src/crash_guard.rs
+++ b/crates/front/src/crash_guard.rs
@@ -59,6 +59,12 @@
         (guard, quarantined)
     }
 
+    /// The number of suspects and, among them, of quarantined contents that this
+    /// front knows from crashes.
+    pub fn counts(&self) -> (usize, usize) {
+        lock(&self.table).counts()
+    }
+
     /// How `content` may run.
     pub fn verdict(&self, content: ContentHash) -> ContentVerdict {
         let now = self.clock.now();
@@ -130,6 +136,7 @@
         let mut table = lock(&self.table);
         let is_new = table.record_crash(&report, now);
         let verdict = table.verdict(content, CanaryMode::Suspects, now);
+        let crashes = table.crash_count(content);
         drop(table);
         let is_quarantined = matches!(verdict, ContentVerdict::Quarantined(_));
         event!(
@@ -138,6 +145,7 @@
             server = record.name,
             content = content.0,
             alone = alone,
+            crashes = crashes,
             held = is_quarantined
         );
         if is_new && is_quarantined && self.quarantine_sender.try_send(content).is_err() {
--- a/crates/front/src/feed.rs
+++ b/crates/front/src/feed.rs
@@ -107,6 +107,7 @@
 struct FetchedItems {
     items: SourceItems,
     confirmed_at: Option<Instant>,
+    origin: FeedOrigin,
 }
 
 impl<Source> FeedFollower<Source>
@@ -186,7 +187,7 @@
         for origin in self.order.origins(&members, self.context.clock.now()) {
             let result = match &origin {
                 FeedOrigin::Store => self.query_store(revision, freshness).await,
-                FeedOrigin::Peer(_, address) => self.query_peer(*address, revision).await,
+                FeedOrigin::Peer(vm, address) => self.query_peer(vm, *address, revision).await,
             };
             match (result, origin) {
                 (Err(SourceError::Failed { cause, step, feed }), FeedOrigin::Peer(vm, _)) => {
@@ -224,11 +225,13 @@
         Ok(FetchedItems {
             items,
             confirmed_at,
+            origin: FeedOrigin::Store,
         })
     }
 
     async fn query_peer(
         &self,
+        vm: &VmName,
         peer: SocketAddr,
         revision: Option<u64>,
     ) -> Result<FetchedItems, SourceError> {
@@ -262,6 +265,7 @@
                 Ok(FetchedItems {
                     items,
                     confirmed_at,
+                    origin: FeedOrigin::Peer(vm.clone(), peer),
                 })
             }
         }
@@ -280,9 +284,11 @@
 
     /// Caches and publishes items. Returns the revision to continue from.
     async fn apply(&self, fetched: FetchedItems, before: Option<u64>) -> u64 {
+        self.log_change(&fetched);
         let FetchedItems {
             items,
             confirmed_at,
+            ..
         } = fetched;
         let revision = items.revision.max(before.unwrap_or_default());
         let feed_cache = &self.context.feed_cache;
@@ -298,6 +304,28 @@
         revision
     }
 
+    fn log_change(&self, fetched: &FetchedItems) {
+        let FetchedItems {
+            items,
+            confirmed_at,
+            origin,
+        } = fetched;
+        if items.items.is_empty() {
+            return;
+        }
+        let now = self.context.clock.now();
+        let age = confirmed_at.map(|at| now.saturating_duration_since(at).as_millis());
+        event!(
+            Info,
+            "feed-changed",
+            feed = self.feed,
+            origin = origin,
+            revision = items.revision,
+            items = items.items.len(),
+            age_ms = age.map_or_else(|| "unknown".to_owned(), |age| age.to_string())
+        );
+    }
+
     async fn send_update(&self, update: FeedUpdate) {
         // The channel is closed only when the front stops.
         let _ = self.context.updates.send(update).await;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -192,6 +192,7 @@
                 view: Arc::clone(&self.view),
                 feed_cache: Arc::clone(&self.feed_cache),
                 budgets: Arc::clone(&self.budgets),
+                guard: Arc::clone(&self.guard),
                 clock: self.clock.clone(),
             },
             is_stopping: Arc::clone(&self.is_stopping),
--- a/crates/front/src/gauges.rs
+++ b/crates/front/src/gauges.rs
@@ -1,5 +1,6 @@
 //! Gauges that are read from the front's state when its metrics are scraped.
 
+use crate::crash_guard::CrashGuard;
 use crate::fan_out::CallBudgets;
 use crate::feed_cache::FeedCache;
 use crate::metrics::FrontMetrics;
@@ -17,6 +18,8 @@
     pub feed_cache: Arc<FeedCache>,
     /// The budgets of extra calls.
     pub budgets: Arc<CallBudgets>,
+    /// The contents that crashed servers.
+    pub guard: Arc<CrashGuard>,
     /// The front's clock.
     pub clock: DaemonClock,
 }
@@ -54,6 +57,8 @@
             endpoints.add_to(&mut counts, now);
         }
         metrics.set_endpoint_counts(&counts);
+        let (suspects, quarantined) = self.guard.counts();
+        metrics.set_content_counts(suspects, quarantined);
         metrics.set_budget_left(self.budgets.min_left(now));
     }
 }
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -24,6 +24,7 @@
     servers: IntGaugeVec,
     connections: IntGaugeVec,
     calls: IntGaugeVec,
+    contents: IntGaugeVec,
     budget_left: IntGauge,
     /// Extra calls that a budget refused.
     pub budget_refusals: IntCounter,
@@ -72,6 +73,11 @@
             servers: set.gauges("front_servers", "Servers by state", "state"),
             connections: set.gauges("front_connections", "Connections to servers", "state"),
             calls: set.gauges("front_calls", "Calls of servers by state", "state"),
+            contents: set.gauges(
+                "front_contents",
+                "Contents that crashed servers, by state",
+                "state",
+            ),
             budget_left: set.gauge(
                 "front_budget_left",
                 "Extra calls left where there are fewest",
@@ -134,6 +140,15 @@
         set(&self.calls, "waiting", counts.waiting);
     }
 
+    /// Sets the numbers of suspect and of quarantined contents.
+    pub fn set_content_counts(&self, suspects: usize, quarantined: usize) {
+        let set = |state: &str, count: usize| {
+            self.contents.with_label_values(&[state]).set(count as i64);
+        };
+        set("suspect", suspects - quarantined);
+        set("held", quarantined);
+    }
+
     /// Sets the fewest extra calls left in any budget, if there is one yet.
     pub fn set_budget_left(&self, left: Option<f64>) {
         if let Some(left) = left {
--- a/crates/policy/src/feed_order.rs
+++ b/crates/policy/src/feed_order.rs
@@ -20,11 +20,13 @@
 const FAILED_PEER_BACKOFF: Duration = Duration::from_secs(3);
 
 /// An origin of changes of the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, derive_more::Display, Eq, PartialEq)]
 pub enum FeedOrigin {
     /// The store itself.
+    #[display("store")]
     Store,
     /// Another front.
+    #[display("{_0}")]
     Peer(VmName, SocketAddr),
 }
 
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -251,6 +251,12 @@
         crashes.chain(cleared).fold(0, sum)
     }
 
+    /// The number of retained crashes of `content`.
+    pub fn crash_count(&self, content: ContentHash) -> usize {
+        let suspect = self.suspects.get(&content);
+        suspect.map_or(0, |suspect| suspect.crashes.len())
+    }
+
     /// The number of suspects and, among them, of quarantined contents.
     pub fn counts(&self) -> (usize, usize) {
         let quarantined = self
