--- a/crates/front/src/feed_cache.rs
+++ b/crates/front/src/feed_cache.rs
@@ -71,6 +71,8 @@
         cached.items.clear();
         cached.changes.clear();
         cached.floor = items.revision;
+        cached.revision = None;
+        cached.confirmed_at = None;
         cached.apply(items, confirmed_at);
     }
 
@@ -82,6 +84,10 @@
         confirmed_at: Option<Instant>,
     ) {
         let mut cached = self.lock(feed);
+        if feed == SourceFeed::Configuration && !items.items.is_empty() {
+            // Each configuration replaces the one before it as a whole.
+            cached.changes.clear();
+        }
         for item in &items.items {
             cached.changes.push_back((items.revision, item.clone()));
         }
@@ -138,7 +144,7 @@
         }
     }
 
-    /// A channel that gets a message at the feed's next change.
+    /// A channel that gets a message at the feed's next change or confirmation.
     pub fn next_change(&self, feed: SourceFeed) -> Receiver<()> {
         let (notify, notice) = async_channel::bounded(1);
         let mut cached = self.lock(feed);
@@ -171,11 +177,11 @@
                 }
             }
         }
-        self.revision = Some(items.revision);
-        let was_confirmed = self.confirmed_at.is_some();
-        self.confirmed_at = confirmed_at;
-        let is_first_confirmed = !was_confirmed && confirmed_at.is_some();
-        if !items.items.is_empty() || is_first_confirmed {
+        // A peer that answers may be behind.
+        self.revision = self.revision.max(Some(items.revision));
+        let is_confirmation = confirmed_at > self.confirmed_at;
+        self.confirmed_at = self.confirmed_at.max(confirmed_at);
+        if !items.items.is_empty() || is_confirmation {
             for waiter in self.waiters.drain(..) {
                 // Fails only if the peer's query has timed out.
                 let _ = waiter.try_send(());
--- a/crates/policy/src/feed_order.rs
+++ b/crates/policy/src/feed_order.rs
@@ -16,11 +16,11 @@
 /// The maximum number of fronts of the own failure domain that are queried before
 /// the store.
 const MAX_DOMAIN_PEERS: usize = 2;
-/// How long a peer is skipped after it did not answer, or had only old state.
-const FAILED_PEER_BACKOFF: Duration = Duration::from_secs(3);
+/// How long an origin is avoided after it did not answer, or had only old state.
+const FAILED_ORIGIN_BACKOFF: Duration = Duration::from_secs(3);
 
 /// An origin of changes of the store.
-#[derive(Clone, Debug, derive_more::Display, Eq, PartialEq)]
+#[derive(Clone, Debug, derive_more::Display, Eq, Hash, PartialEq)]
 pub enum FeedOrigin {
     /// The store itself.
     #[display("store")]
@@ -35,7 +35,7 @@
 pub struct FeedOrder {
     own: FrontRecord,
     regions: HashMap<FailureDomain, String>,
-    failed_at: HashMap<VmName, Instant>,
+    failed_at: HashMap<FeedOrigin, Instant>,
 }
 
 impl FeedOrder {
@@ -49,9 +49,9 @@
         }
     }
 
-    /// Records that a peer did not answer, or had only old state.
-    pub fn record_failure(&mut self, peer: &VmName, now: Instant) {
-        self.failed_at.insert(peer.clone(), now);
+    /// Records that an origin did not answer, or had only old state.
+    pub fn record_failure(&mut self, origin: &FeedOrigin, now: Instant) {
+        self.failed_at.insert(origin.clone(), now);
     }
 
     /// Whether this front is the first of its failure domain.
@@ -59,32 +59,27 @@
         first_in_domain(&self.own.domain, members).is_none_or(|first| first.vm == self.own.vm)
     }
 
-    /// The origins to try, in order. The last is a front of another failure
-    /// domain, which may reach the store when this one doesn't.
+    /// The origins to try, in order. One of them is a front of another failure
+    /// domain, which may reach the store when this one doesn't. The store is always
+    /// among them, at the end if it has failed.
     pub fn origins(&mut self, members: &[FrontRecord], now: Instant) -> Vec<FeedOrigin> {
         self.failed_at
-            .retain(|_, at| now.saturating_duration_since(*at) < FAILED_PEER_BACKOFF);
-        let origin = |member: &&FrontRecord| FeedOrigin::Peer(member.vm.clone(), member.address);
-        let is_usable = |member: &&FrontRecord| !self.failed_at.contains_key(&member.vm);
+            .retain(|_, at| now.saturating_duration_since(*at) < FAILED_ORIGIN_BACKOFF);
+        let origin = |member: &FrontRecord| FeedOrigin::Peer(member.vm.clone(), member.address);
+        let is_usable = |origin: &FeedOrigin| !self.failed_at.contains_key(origin);
         let own_domain = self.ranked(members, true);
         let before_own = own_domain
             .iter()
             .take_while(|member| member.vm != self.own.vm);
         let peers = before_own.take(MAX_DOMAIN_PEERS).copied();
-        let peers = peers.chain(self.region_first(members));
-        let mut origins: Vec<FeedOrigin> = peers
-            .filter(is_usable)
-            .map(|member| origin(&member))
-            .collect();
-        origins.push(FeedOrigin::Store);
+        let peers = peers.chain(self.region_first(members)).map(origin);
         let other_domains = self.ranked(members, false);
-        origins.extend(
-            other_domains
-                .iter()
-                .copied()
-                .find(is_usable)
-                .map(|member| origin(&member)),
-        );
+        let other_domain = other_domains.into_iter().map(origin).find(is_usable);
+        let mut origins: Vec<FeedOrigin> = peers.filter(is_usable).collect();
+        origins.push(FeedOrigin::Store);
+        origins.extend(other_domain);
+        // Stable, so that only a store that has failed moves.
+        origins.sort_by_key(|origin| !is_usable(origin));
         origins
     }
 
--- a/crates/policy/tests/all/feed_order.rs
+++ b/crates/policy/tests/all/feed_order.rs
@@ -85,10 +85,9 @@
         follower.expect("the first front of another domain"),
         &regions,
     );
-    let FeedOrigin::Peer(vm, _) = order.origins(&members, now).remove(0) else {
-        panic!("the first front of another domain did not ask a peer");
-    };
-    order.record_failure(&vm, now);
+    let asked = order.origins(&members, now).remove(0);
+    assert_ne!(asked, FeedOrigin::Store);
+    order.record_failure(&asked, now);
     assert_eq!(order.origins(&members, now)[0], FeedOrigin::Store);
 }
 
@@ -112,17 +111,33 @@
         .expect("a follower");
     let mut order = order(follower);
     let before = order.origins(&members, now);
-    let FeedOrigin::Peer(first, _) = &before[0] else {
-        panic!("the follower did not ask a peer first");
-    };
+    let first = &before[0];
+    assert_ne!(*first, FeedOrigin::Store);
     order.record_failure(first, now);
-    let after = order.origins(&members, now);
-    let still = after
-        .iter()
-        .any(|origin| matches!(origin, FeedOrigin::Peer(vm, _) if vm == first));
-    assert!(!still);
+    assert!(!order.origins(&members, now).contains(first));
     assert_eq!(
         order.origins(&members, now + Duration::from_secs(4)),
         before
     );
 }
+
+/// A front that is cut off from the store asks a front that may reach it, and still
+/// asks the store as well.
+#[test]
+fn a_store_that_failed_is_asked_last_for_a_while() {
+    let members = members(2, 5);
+    let now = Instant::now();
+    let first = members
+        .iter()
+        .find(|member| order(member).is_first(&members))
+        .expect("a first front");
+    let mut order = order(first);
+    let before = order.origins(&members, now);
+    assert_eq!(before[0], FeedOrigin::Store);
+    order.record_failure(&FeedOrigin::Store, now);
+    let after = order.origins(&members, now);
+    assert_eq!(after.last(), Some(&FeedOrigin::Store));
+    assert_eq!(after.len(), before.len());
+    let later = now + Duration::from_secs(4);
+    assert_eq!(order.origins(&members, later), before);
+}
--- a/crates/standins/src/front/testbed.rs
+++ b/crates/standins/src/front/testbed.rs
@@ -6,6 +6,7 @@
 use crate::front::object_store::ObjectStore;
 use crate::front::signed_server::SignedServer;
 use crate::front::tcp_proxy::TcpProxy;
+use camphorway_model::VmName;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -63,6 +64,10 @@
     pub peer_address: SocketAddr,
     /// The front's failure domain.
     pub domain: String,
+    /// The address at which the front reaches the store.
+    pub store_address: SocketAddr,
+    /// The front's own proxy in front of the store, if any.
+    pub store_proxy: Option<Arc<TcpProxy>>,
 }
 
 impl FrontTestbed {
@@ -154,9 +159,22 @@
         self.add(domain, FleetProcess::spawn_with_unread_output)
     }
 
+    /// Starts one more front, which reaches the store through a proxy of its own.
+    ///
+    /// # Errors
+    /// Returns the system's error.
+    pub fn add_front_with_store_proxy(&mut self, domain: &str) -> io::Result<()> {
+        let proxy = TcpProxy::start(self.store_address)?;
+        let addresses = [free_address(), free_address(), free_address()];
+        let mut front = self.spawn(domain, addresses, proxy.address, FleetProcess::spawn)?;
+        front.store_proxy = Some(proxy);
+        self.fronts.push(front);
+        Ok(())
+    }
+
     fn add(&mut self, domain: &str, spawn: SpawnProgram) -> io::Result<()> {
         let addresses = [free_address(), free_address(), free_address()];
-        let front = self.spawn(domain, addresses, spawn)?;
+        let front = self.spawn(domain, addresses, self.store_address, spawn)?;
         self.fronts.push(front);
         Ok(())
     }
@@ -171,11 +189,17 @@
             caller_address,
             readiness_address,
             peer_address,
+            store_address,
             ..
         } = self.fronts[front];
         let domain = self.fronts[front].domain.clone();
+        let store_proxy = self.fronts[front].store_proxy.take();
         let addresses = [caller_address, readiness_address, peer_address];
-        self.fronts[front] = self.spawn(&domain, addresses, FleetProcess::spawn)?;
+        let restarted = self.spawn(&domain, addresses, store_address, FleetProcess::spawn)?;
+        self.fronts[front] = TestbedFront {
+            store_proxy,
+            ..restarted
+        };
         Ok(())
     }
 
@@ -183,6 +207,7 @@
         &self,
         domain: &str,
         [caller_address, readiness_address, peer_address]: [SocketAddr; 3],
+        store_address: SocketAddr,
         spawn: SpawnProgram,
     ) -> io::Result<TestbedFront> {
         let settings = self
@@ -195,7 +220,7 @@
             caller_address.port(),
             peer_address,
             self.log_level,
-            self.store_address,
+            store_address,
             self.budget
         );
         for domain in DOMAINS {
@@ -211,6 +236,8 @@
             caller_address,
             readiness_address,
             peer_address,
+            store_address,
+            store_proxy: None,
         })
     }
 
@@ -312,6 +339,11 @@
 }
 
 impl TestbedFront {
+    /// The name of the front's VM.
+    pub fn vm(&self) -> VmName {
+        VmName::new(&format!("vm-{}", self.caller_address.port()))
+    }
+
     /// Whether the front reports that it is ready.
     pub fn is_ready(&self) -> bool {
         exchange(
--- a/tests/all/front/peers.rs
+++ b/tests/all/front/peers.rs
@@ -1,9 +1,12 @@
 //! Messages between fronts: changes, quarantined content and membership.
 
 use super::{new_id, testbed, wait_version};
+use camphorway_model::{FailureDomain, FrontRecord, PeerKey};
+use camphorway_policy::feed_order::first_in_domain;
 use camphorway_standins::front::object_store::StoreFault;
 use camphorway_standins::front::signed_server::POISON;
-use camphorway_standins::front::testbed::FrontTestbed;
+use camphorway_standins::front::tcp_proxy::ProxyFault;
+use camphorway_standins::front::testbed::{FrontTestbed, TestbedFront};
 use rustix::process::Signal;
 use std::time::Duration;
 
@@ -72,6 +75,69 @@
     }
 }
 
+/// The fronts of a testbed with one failure domain, in the order in which the
+/// domain asks them for changes.
+fn feed_order(testbed: &FrontTestbed) -> Vec<usize> {
+    let record = |front: &TestbedFront| FrontRecord {
+        vm: front.vm(),
+        domain: FailureDomain::new(&front.domain),
+        address: front.peer_address,
+        key: PeerKey::from_der(&[]),
+    };
+    let mut members: Vec<FrontRecord> = testbed.fronts.iter().map(record).collect();
+    let domain = FailureDomain::new(&testbed.fronts[0].domain);
+    let mut order = Vec::new();
+    while let Some(first) = first_in_domain(&domain, &members).cloned() {
+        members.retain(|member| member.vm != first.vm);
+        let index = testbed
+            .fronts
+            .iter()
+            .position(|front| front.vm() == first.vm);
+        order.extend(index);
+    }
+    order
+}
+
+/// A confirmed configuration came into force too late at a front that reached the
+/// store, because both fronts that it asks first did not: their timeouts added up.
+#[test]
+fn a_change_is_in_force_though_both_fronts_asked_first_are_cut_off() {
+    let mut testbed = testbed(1, 0);
+    for _ in 0..3 {
+        testbed
+            .add_front_with_store_proxy("a")
+            .expect("another front");
+    }
+    testbed.wait_ready().expect("all are ready");
+    std::thread::sleep(DISCOVERY_TIME);
+    let [first, second, third] = feed_order(&testbed)[..] else {
+        panic!("three fronts");
+    };
+    for _ in 0..3 {
+        let proxy = testbed.fronts[first].store_proxy.clone().expect("a proxy");
+        // All have just confirmed their knowledge, so that it is used for longest.
+        let version = testbed.configure(&testbed.routes());
+        for front in 0..3 {
+            wait_version(&testbed, front, version);
+        }
+        proxy.set_fault(ProxyFault::HoldFromTarget);
+        let signal = |testbed: &FrontTestbed, signal| {
+            let process = &testbed.fronts[second].process;
+            process.signal(signal).expect("a signal");
+        };
+        signal(&testbed, Signal::STOP);
+        let version = testbed.configure(&testbed.routes());
+        wait_version(&testbed, third, version);
+        signal(&testbed, Signal::CONT);
+        proxy.set_fault(ProxyFault::None);
+        for front in [first, second] {
+            wait_version(&testbed, front, version);
+        }
+        // All fronts ask in the usual order again.
+        std::thread::sleep(DISCOVERY_TIME + Duration::from_secs(1));
+    }
+}
+
 #[test]
 fn a_front_that_restarts_alone_during_a_store_outage_serves_after_it() {
     let mut testbed = two_fronts_of_one_domain();
