Quarantine: content that crashes a server again stays away for longer each time

Cause: after 30 s each front and daemon forgot that a content crashes servers, so the next request with it ran at all its shards, with retries, and two more crashes were needed to stop it. The class: a verdict with a lifetime and no memory behind it.

Change: after its quarantine a content is suspect for ten minutes (it runs once, without a retry, and clears itself by an answer); one more crash quarantines it for twice as long, up to ten minutes. A verdict from the store is kept in the same table, and reading the list again no longer renews it. The object stays in the store for 11 minutes.

Evidence: one_more_crash_after_a_quarantine_starts_a_longer_one and a_success_after_a_quarantine_clears in camphorway-policy fail on the code before, where the verdict after 30 s was that nothing is known.

Tests changed: second_crash_on_another_server_quarantines_for_a_time expects a suspect after 31 s in place of no restriction, which is stricter; the test of the deletion from the store uses the new time (none after 10 minutes, one after 12).

Ruled out: renewing a quarantine while it is asked for, since then a server that was mended gets no request again as long as one caller goes on.

--- a/crates/daemon/src/control.rs
+++ b/crates/daemon/src/control.rs
@@ -515,7 +515,8 @@
                 .with_label_values(&[state])
                 .set(count as i64);
         }
-        let (suspects, quarantined) = self.quarantine(|table| table.counts());
+        let now = self.context.clock.now();
+        let (suspects, quarantined) = self.quarantine(|table| table.counts(now));
         metrics
             .quarantine
             .with_label_values(&["suspect"])
--- a/crates/front/src/crash_guard.rs
+++ b/crates/front/src/crash_guard.rs
@@ -16,13 +16,10 @@
 use camphorway_daemon::task::TaskSpawner;
 use camphorway_model::CanaryMode;
 use camphorway_policy::{ContentHash, ContentVerdict, CrashReport, QuarantineTable};
-use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Content that another front quarantined is refused for this time.
-const REMOTE_QUARANTINE_TIME: Duration = Duration::from_secs(30);
 /// The time a process that exits needs to close its port.
 const PORT_CLOSE_DELAY: Duration = Duration::from_millis(20);
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -33,7 +30,6 @@
 #[derive(Debug)]
 pub struct CrashGuard {
     table: Mutex<QuarantineTable>,
-    remote_quarantine: Mutex<HashMap<ContentHash, Instant>>,
     quarantine_sender: Sender<ContentHash>,
     clock: DaemonClock,
     spawner: TaskSpawner,
@@ -51,7 +47,6 @@
         let (quarantine_sender, quarantined) = async_channel::bounded(MAX_WAITING);
         let guard = Self {
             table: Mutex::default(),
-            remote_quarantine: Mutex::default(),
             quarantine_sender,
             clock: clock.clone(),
             spawner: spawner.clone(),
@@ -62,26 +57,19 @@
     /// The number of suspects and, among them, of quarantined contents that this
     /// front knows from crashes.
     pub fn counts(&self) -> (usize, usize) {
-        lock(&self.table).counts()
+        lock(&self.table).counts(self.clock.now())
     }
 
     /// How `content` may run.
     pub fn verdict(&self, content: ContentHash) -> ContentVerdict {
         let now = self.clock.now();
-        let mut remote = lock(&self.remote_quarantine);
-        remote.retain(|_, since| now.saturating_duration_since(*since) < REMOTE_QUARANTINE_TIME);
-        if let Some(since) = remote.get(&content) {
-            let age = now.saturating_duration_since(*since);
-            return ContentVerdict::Quarantined(REMOTE_QUARANTINE_TIME.saturating_sub(age));
-        }
-        drop(remote);
         lock(&self.table).verdict(content, CanaryMode::Suspects, now)
     }
 
     /// Records that another front has quarantined `content`.
     pub fn record_remote_quarantine(&self, content: ContentHash) {
         let now = self.clock.now();
-        lock(&self.remote_quarantine).insert(content, now);
+        lock(&self.table).record_quarantine(content, now);
     }
 
     /// Records that `content` was answered. Needed if it is suspect, or may
--- a/crates/front/src/membership.rs
+++ b/crates/front/src/membership.rs
@@ -16,8 +16,8 @@
 /// All fronts may start and register at once. Following them only after this
 /// time avoids reordering origins at each registration.
 const REGISTRATION_PERIOD: Duration = Duration::from_millis(1_200);
-/// Quarantined content stays in the store this long, longer than it is refused.
-const RELEASE_AFTER: Duration = Duration::from_secs(90);
+/// Quarantined content stays in the store this long, as long as fronts remember it.
+const RELEASE_AFTER: Duration = Duration::from_secs(660);
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
 /// This front's own registration.
--- a/crates/front/tests/all/quarantine.rs
+++ b/crates/front/tests/all/quarantine.rs
@@ -20,8 +20,8 @@
 use tokio_util::sync::CancellationToken;
 
 const CONTENT: ContentHash = ContentHash(7);
-const BEFORE: Duration = Duration::from_secs(60);
-const AFTER: Duration = Duration::from_secs(60);
+const BEFORE: Duration = Duration::from_secs(600);
+const AFTER: Duration = Duration::from_secs(120);
 
 /// A store that records which content is released.
 #[derive(Debug, Default)]
@@ -66,7 +66,7 @@
     }
 }
 
-/// The number of contents released one and two minutes after `CONTENT` was
+/// The number of contents released ten and twelve minutes after `CONTENT` was
 /// quarantined, by a front that is the first of its failure domain or not.
 fn released_by(is_first: bool) -> [usize; 2] {
     let stop = CancellationToken::new();
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -4,8 +4,10 @@
 //! resends the same content under a new id. When a server crashes, all content
 //! that was running there becomes suspect. A suspect runs alone on its server. It
 //! is quarantined for a time after two crashes if it ran alone at both, or if the
-//! servers differ and it ran alone at one. A suspect that succeeds is cleared,
-//! since the crashes that this guards against occur whenever the content runs.
+//! servers differ and it ran alone at one. After that time it is suspect again, and
+//! one more crash quarantines it for twice as long. A suspect that succeeds is
+//! cleared, since the crashes that this guards against occur whenever the content
+//! runs.
 
 use camphorway_model::{CanaryMode, ServerName};
 use serde::{Deserialize, Serialize};
@@ -14,7 +16,10 @@
 use xxhash_rust::xxh3::Xxh3;
 
 const SUSPECT_LIFETIME: Duration = Duration::from_secs(60);
-const QUARANTINE_LIFETIME: Duration = Duration::from_secs(30);
+const MIN_QUARANTINE_TIME: Duration = Duration::from_secs(30);
+const MAX_QUARANTINE_TIME: Duration = Duration::from_secs(600);
+/// Content that was quarantined stays suspect this long after it is admitted again.
+const RELAPSE_LIFETIME: Duration = Duration::from_secs(600);
 const MAX_PROVEN: usize = 65_536;
 const PROVEN_LIFETIME: Duration = Duration::from_secs(600);
 const MAX_SUSPECTS: usize = 4_096;
@@ -83,7 +88,31 @@
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     crashes: BTreeMap<u64, Crash>,
-    quarantined_at: Option<Instant>,
+    quarantine: Option<Quarantine>,
+}
+
+/// The latest quarantine of a content.
+#[derive(Clone, Copy, Debug)]
+struct Quarantine {
+    until: Instant,
+    lasts: Duration,
+}
+
+impl Quarantine {
+    fn starting(now: Instant, lasts: Duration) -> Self {
+        Self {
+            until: now + lasts,
+            lasts,
+        }
+    }
+
+    /// The quarantine after a crash at `now`, which is longer if this one has ended.
+    fn after_crash(self, now: Instant) -> Self {
+        if now < self.until {
+            return self;
+        }
+        Self::starting(now, (self.lasts * 2).min(MAX_QUARANTINE_TIME))
+    }
 }
 
 /// Contents that are suspect, quarantined, or proven by an answer.
@@ -108,9 +137,8 @@
         if let Some(suspect) = self.suspects.get(&content)
             && mode != CanaryMode::Never
         {
-            if let Some(since) = suspect.quarantined_at {
-                let age = now.saturating_duration_since(since);
-                return ContentVerdict::Quarantined(QUARANTINE_LIFETIME.saturating_sub(age));
+            if let Some(until) = suspect.quarantined_until(now) {
+                return ContentVerdict::Quarantined(until.saturating_duration_since(now));
             }
             return ContentVerdict::SuspectAlone;
         }
@@ -157,12 +185,31 @@
         if suspect.crashes.insert(report.crash, crash).is_some() {
             return false;
         }
-        if suspect.quarantined_at.is_none() && suspect.is_crash_cause() {
-            suspect.quarantined_at = Some(now);
+        match suspect.quarantine {
+            // A crash that is reported late belongs to the quarantine before it.
+            Some(latest) if at >= latest.until => {
+                suspect.quarantine = Some(latest.after_crash(now));
+            }
+            None if suspect.is_crash_cause() => {
+                suspect.quarantine = Some(Quarantine::starting(now, MIN_QUARANTINE_TIME));
+            }
+            Some(_) | None => {}
         }
         true
     }
 
+    /// Records that another daemon has quarantined `content`, unless this one knows
+    /// more of it already.
+    pub fn record_quarantine(&mut self, content: ContentHash, now: Instant) {
+        self.remove_expired(now);
+        if self.cleared.contains_key(&content) || self.suspects.len() >= MAX_SUSPECTS {
+            return;
+        }
+        let suspect = self.suspects.entry(content).or_default();
+        let quarantine = Quarantine::starting(now, MIN_QUARANTINE_TIME);
+        suspect.quarantine.get_or_insert(quarantine);
+    }
+
     /// Records that a backend server answered `content`.
     pub fn record_success(&mut self, content: ContentHash, now: Instant) {
         if self.suspects.contains_key(&content) {
@@ -198,7 +245,8 @@
         let Some(suspect) = self.suspects.get_mut(&content) else {
             return;
         };
-        if suspect.quarantined_at.is_some() {
+        // A success during the quarantine is of a call that began before it.
+        if suspect.quarantine.is_some_and(|latest| at < latest.until) {
             return;
         }
         suspect.crashes.retain(|_, crash| crash.at > at);
@@ -258,11 +306,11 @@
     }
 
     /// The number of suspects and, among them, of quarantined contents.
-    pub fn counts(&self) -> (usize, usize) {
+    pub fn counts(&self, now: Instant) -> (usize, usize) {
         let quarantined = self
             .suspects
             .values()
-            .filter(|suspect| suspect.quarantined_at.is_some());
+            .filter(|suspect| suspect.quarantined_until(now).is_some());
         (self.suspects.len(), quarantined.count())
     }
 
@@ -276,19 +324,25 @@
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < SUSPECT_LIFETIME;
         self.cleared.retain(|_, at| is_recent(at));
         self.suspects.retain(|_, suspect| {
-            let lifetime = if suspect.quarantined_at.is_some() {
-                QUARANTINE_LIFETIME
-            } else {
-                SUSPECT_LIFETIME
+            let Some(latest) = suspect.quarantine else {
+                let newest = suspect.crashes.values().map(|crash| crash.at).max();
+                return newest.is_some_and(|at| is_recent(&at));
             };
-            let newest = suspect.crashes.values().map(|crash| crash.at).max();
-            let since = suspect.quarantined_at.or(newest);
-            since.is_some_and(|at| now.saturating_duration_since(at) < lifetime)
+            // Other daemons no longer take reports of older crashes.
+            suspect.crashes.retain(|_, crash| is_recent(&crash.at));
+            now < latest.until + RELAPSE_LIFETIME
         });
     }
 }
 
 impl Suspect {
+    /// The end of the quarantine in force.
+    fn quarantined_until(&self, now: Instant) -> Option<Instant> {
+        self.quarantine
+            .map(|latest| latest.until)
+            .filter(|until| now < *until)
+    }
+
     fn is_crash_cause(&self) -> bool {
         if self.crashes.len() < 2 {
             return false;
--- a/crates/policy/tests/all/quarantine.rs
+++ b/crates/policy/tests/all/quarantine.rs
@@ -35,9 +35,62 @@
         ContentVerdict::Quarantined(_)
     ));
     let later = now + Duration::from_secs(31);
+    assert_eq!(verdict(&mut table, later), ContentVerdict::SuspectAlone);
+}
+
+/// Content whose quarantine had ended crashed two servers again before the next one.
+#[test]
+fn one_more_crash_after_a_quarantine_starts_a_longer_one() {
+    let mut now = Instant::now();
+    let mut table = QuarantineTable::default();
+    table.record_crash(&crash(1, "a", true), now);
+    table.record_crash(&crash(2, "b", true), now);
+    for round in 0..6_u32 {
+        let lasts = Duration::from_secs(30) * 2_u32.pow(round);
+        let lasts = lasts.min(Duration::from_secs(600));
+        assert_eq!(
+            verdict(&mut table, now),
+            ContentVerdict::Quarantined(lasts),
+            "round {round}"
+        );
+        now += lasts;
+        assert_eq!(verdict(&mut table, now), ContentVerdict::SuspectAlone);
+        now += Duration::from_secs(5);
+        table.record_crash(&crash(3 + u64::from(round), "c", true), now);
+    }
+}
+
+#[test]
+fn a_success_after_a_quarantine_clears() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    table.record_quarantine(CONTENT, now);
+    assert!(matches!(
+        verdict(&mut table, now),
+        ContentVerdict::Quarantined(_)
+    ));
+    let during = now + Duration::from_secs(10);
+    table.record_success(CONTENT, during);
+    assert!(matches!(
+        verdict(&mut table, during),
+        ContentVerdict::Quarantined(_)
+    ));
+    let later = now + Duration::from_secs(31);
+    table.record_success(CONTENT, later);
     assert_eq!(verdict(&mut table, later), ContentVerdict::Unrestricted);
 }
 
+/// The list of quarantined content is read again after a lost history.
+#[test]
+fn a_repeated_report_of_a_quarantine_does_not_extend_it() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::default();
+    table.record_quarantine(CONTENT, now);
+    let later = now + Duration::from_secs(31);
+    table.record_quarantine(CONTENT, later);
+    assert_eq!(verdict(&mut table, later), ContentVerdict::SuspectAlone);
+}
+
 #[test]
 fn content_beside_others_in_two_crashes_stays_suspect_until_it_succeeds() {
     let now = Instant::now();
