Fronts tell each other of each crash, not only the store of the verdict

Cause (hypotheses 1 and 2 of docs/incidents/crashing-content-at-many-fronts.md): each front counted crashes for itself, and two of them in one front's table were needed; a request that comes again at another front each time was never quarantined. The verdict travelled only through the store: written once, lost if that write failed, and read by a feed whose bound was 15 s. The class: knowledge that all fronts need travels only through the store, though their peers could tell.

Evidence: front::crashing_content:: (three tests, all failed on the code before): nine fronts and nine attempts ended more than three servers; a front cut off from the store told nobody; fronts cut off from the store answered 502 in place of 503 5 s after the third crash, which means that more servers ended.

All tables reach the same verdict. A front that has detected a crash itself writes the verdict to the store and repeats the write while the content is quarantined. The feed's bound is 6 s in place of 15 s, and it is read from the start in place of after the discovery of other fronts.

Why it works: the second crash on another server is known everywhere some network delays later, with or without the store; without the peers, by the feed within 6 s.

Ruled out: every crash as an object in the store; it costs a write for each content on each crashed server and nothing is told while the store is away.

--- a/crates/daemon/src/peer/link.rs
+++ b/crates/daemon/src/peer/link.rs
@@ -325,6 +325,34 @@
             .unwrap_or_else(|| Err(failed("timeout".to_owned())))
     }
 
+    /// Sends one message on a stream of its own, which has no reply.
+    ///
+    /// # Errors
+    /// Returns the step that failed.
+    pub async fn send_frame<Message>(
+        &self,
+        peer: SocketAddr,
+        message: &Message,
+    ) -> Result<(), PeerError>
+    where
+        Message: Serialize,
+    {
+        let connection = self.connection(peer).await?;
+        let failed = |cause: String| PeerError {
+            step: PeerStep::Send,
+            peer,
+            cause,
+        };
+        let mut stream = connection
+            .open_uni()
+            .await
+            .map_err(|cause| failed(cause.to_string()))?;
+        frame::write(&mut stream, message)
+            .await
+            .map_err(|cause| failed(cause.to_string()))?;
+        stream.finish().map_err(|cause| failed(cause.to_string()))
+    }
+
     /// Sends a gossip message, without a guarantee of delivery.
     ///
     /// # Errors
--- a/crates/front/src/crash_guard.rs
+++ b/crates/front/src/crash_guard.rs
@@ -2,9 +2,11 @@
 //!
 //! A call counts as a crash if its connection is lost and its server then
 //! refuses connections. The quarantine table decides which content a crash
-//! counts against and when that content is quarantined. Fronts notify each
-//! other of quarantined content through the store.
+//! counts against and when that content is quarantined. Fronts notify each other of
+//! crashes (see [`crate::crash_notices`]), and of quarantined content also through
+//! the store.
 
+use crate::crash_notices::CrashNotice;
 use crate::ports::RequestHead;
 use crate::server_endpoint::ServerEndpoint;
 use async_channel::{Receiver, Sender};
@@ -15,7 +17,8 @@
 use camphorway_daemon::sync::lock;
 use camphorway_daemon::task::TaskSpawner;
 use camphorway_model::CanaryMode;
-use camphorway_policy::{ContentHash, ContentVerdict, CrashReport, QuarantineTable};
+use camphorway_policy::{ClearReport, ContentHash, ContentVerdict, CrashReport, QuarantineTable};
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -25,12 +28,19 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Quarantined content that may wait for the store; more is dropped.
 const MAX_WAITING: usize = 64;
+/// Notices that may wait to be sent to other fronts; more are dropped.
+const MAX_WAITING_NOTICES: usize = 1_024;
+/// The number of contents for which own crashes are remembered.
+const MAX_OWN_CONTENTS: usize = 1_024;
 
 /// Records crashes and decides which content may run.
 #[derive(Debug)]
 pub struct CrashGuard {
     table: Mutex<QuarantineTable>,
+    /// The contents of which this front has itself detected a crash.
+    own_contents: Mutex<HashSet<ContentHash>>,
     quarantine_sender: Sender<ContentHash>,
+    notice_sender: Sender<CrashNotice>,
     clock: DaemonClock,
     spawner: TaskSpawner,
 }
@@ -41,17 +51,33 @@
     ContentHash::of(&target, body)
 }
 
+/// What a guard tells others.
+#[derive(Debug)]
+pub struct GuardOutput {
+    /// Content to be written to the store as quarantined.
+    pub quarantined: Receiver<ContentHash>,
+    /// Notices for other fronts.
+    pub notices: Receiver<CrashNotice>,
+}
+
 impl CrashGuard {
-    /// Creates a guard, and the channel of content that it quarantines.
-    pub fn new(clock: &DaemonClock, spawner: &TaskSpawner) -> (Self, Receiver<ContentHash>) {
+    /// Creates a guard, and the channels of what it tells others.
+    pub fn new(clock: &DaemonClock, spawner: &TaskSpawner) -> (Self, GuardOutput) {
         let (quarantine_sender, quarantined) = async_channel::bounded(MAX_WAITING);
+        let (notice_sender, notices) = async_channel::bounded(MAX_WAITING_NOTICES);
         let guard = Self {
             table: Mutex::default(),
+            own_contents: Mutex::default(),
             quarantine_sender,
+            notice_sender,
             clock: clock.clone(),
             spawner: spawner.clone(),
         };
-        (guard, quarantined)
+        let output = GuardOutput {
+            quarantined,
+            notices,
+        };
+        (guard, output)
     }
 
     /// The number of suspects and, among them, of quarantined contents that this
@@ -72,11 +98,22 @@
         lock(&self.table).record_quarantine(content, now);
     }
 
+    /// Whether `content` is quarantined.
+    pub fn is_quarantined(&self, content: ContentHash) -> bool {
+        matches!(self.verdict(content), ContentVerdict::Quarantined(_))
+    }
+
     /// Records that `content` was answered. Needed if it is suspect, or may
     /// become so once the crash of an earlier call is detected.
     pub fn record_success(&self, content: ContentHash) {
         let now = self.clock.now();
-        lock(&self.table).record_success(content, now);
+        let mut table = lock(&self.table);
+        let was_suspect = table.verdict(content, CanaryMode::Suspects, now);
+        table.record_success(content, now);
+        drop(table);
+        if was_suspect == ContentVerdict::SuspectAlone {
+            self.notify(CrashNotice::Cleared(ClearReport { content, age_ms: 0 }));
+        }
     }
 
     /// After the connection of a call with `content` was lost, checks whether the
@@ -121,23 +158,63 @@
             // Rounded up, so that an answer after the loss counts as newer.
             age_ms: age.as_millis() as u64 + 1,
         };
+        self.record_own_content(content);
+        if self.record_report(&report) {
+            self.notify(CrashNotice::Crashed(report));
+        }
+    }
+
+    fn record_own_content(&self, content: ContentHash) {
+        let mut own_contents = lock(&self.own_contents);
+        if own_contents.len() >= MAX_OWN_CONTENTS {
+            let table = lock(&self.table);
+            own_contents.retain(|content| table.crash_count(*content) > 0);
+        }
+        own_contents.insert(content);
+    }
+
+    /// Records a crash that this front or another one has detected. Returns whether
+    /// it is new. A front that has itself detected a crash of content that is now
+    /// quarantined writes it to the store.
+    pub(crate) fn record_report(&self, report: &CrashReport) -> bool {
+        let now = self.clock.now();
+        let content = report.content;
         let mut table = lock(&self.table);
-        let is_new = table.record_crash(&report, now);
+        let is_new = table.record_crash(report, now);
         let verdict = table.verdict(content, CanaryMode::Suspects, now);
         let crashes = table.crash_count(content);
         drop(table);
+        if !is_new {
+            return false;
+        }
         let is_quarantined = matches!(verdict, ContentVerdict::Quarantined(_));
+        let is_own = lock(&self.own_contents).contains(&content);
         event!(
             Warn,
             "server-crash",
-            server = record.name,
+            server = report.server,
             content = content.0,
-            alone = alone,
+            alone = report.alone,
             crashes = crashes,
-            held = is_quarantined
+            held = is_quarantined,
+            own = is_own
         );
-        if is_new && is_quarantined && self.quarantine_sender.try_send(content).is_err() {
+        if is_own && is_quarantined && self.quarantine_sender.try_send(content).is_err() {
             event!(Warn, "held-content-not-told", content = content.0);
         }
+        true
+    }
+
+    /// Records that content which was suspect was answered at another front. Returns
+    /// whether that is new.
+    pub(crate) fn record_clear(&self, report: &ClearReport) -> bool {
+        let now = self.clock.now();
+        lock(&self.table).record_clear(report, now)
+    }
+
+    pub(crate) fn notify(&self, notice: CrashNotice) {
+        if self.notice_sender.try_send(notice).is_err() {
+            event!(Warn, "crash-notice-dropped", waiting = MAX_WAITING_NOTICES);
+        }
     }
 }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -3,6 +3,7 @@
 use crate::control::{ControlContext, FrontControl};
 use crate::counted_source::CountedSource;
 use crate::crash_guard::CrashGuard;
+use crate::crash_notices::{CrashNotice, CrashNoticeSender};
 use crate::fan_out::{CallBudgets, CallTimes, FanOutContext};
 use crate::feed::{FeedContext, FeedFollower, FeedTimes};
 use crate::feed_cache::FeedCache;
@@ -53,8 +54,11 @@
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Timeout for removing this front's registration.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(300);
-/// Changes of fronts and of quarantined content arrive within this time.
+/// Changes of fronts arrive within this time.
 const FRONTS_BOUND: Duration = Duration::from_secs(15);
+/// Quarantined content arrives through the store within this time; fronts that reach
+/// each other learn it at once.
+const QUARANTINE_BOUND: Duration = Duration::from_secs(6);
 /// Time for the last answers to be written out.
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
 /// Timeout of a caller's idle connection, or of an incomplete request head.
@@ -112,7 +116,7 @@
         .map_err(StartError::Thread)?;
     let view = Arc::default();
     let (stall_notices, notices) = StallNotices::new(Arc::clone(&view));
-    let (guard, quarantined) = CrashGuard::new(&clock, &spawner);
+    let (guard, guard_output) = CrashGuard::new(&clock, &spawner);
     let own = FrontRecord {
         vm: settings.vm.clone(),
         domain: settings.domain.clone(),
@@ -141,10 +145,11 @@
         guard: Arc::new(guard),
         view,
     };
-    core.start_peers(connections, notices);
+    core.start_peers(connections);
+    core.start_notices(notices, guard_output.notices);
     core.start_callers(callers);
     core.start_readiness(readiness);
-    let control = core.start_control(quarantined)?;
+    let control = core.start_control(guard_output.quarantined)?;
     event!(
         Info,
         "started",
@@ -218,10 +223,11 @@
         self.spawner.spawn(port.serve(Arc::new(handler)));
     }
 
-    fn start_peers(&self, connections: Receiver<Connection>, notices: Receiver<PendingNotice>) {
+    fn start_peers(&self, connections: Receiver<Connection>) {
         let port = PeerPort {
             feed_cache: Arc::clone(&self.feed_cache),
             stall_notices: Arc::clone(&self.stall_notices),
+            guard: Arc::clone(&self.guard),
             links: Arc::clone(&self.links),
             clock: self.clock.clone(),
             spawner: self.spawner.clone(),
@@ -229,10 +235,23 @@
         };
         self.spawner.spawn(port.clone().accept());
         self.spawner.spawn(port.serve_connections(connections));
+    }
+
+    fn start_notices(&self, stalls: Receiver<PendingNotice>, crashes: Receiver<CrashNotice>) {
         let members = Arc::clone(&self.members);
+        let links = Arc::clone(&self.links);
         let route = NoticeRoute::new(&self.own, &self.settings.regions);
-        let sender = NoticeSender::new(notices, route, members, Arc::clone(&self.links));
-        self.spawner.spawn(sender.run());
+        let crash_sender = CrashNoticeSender {
+            notices: crashes,
+            route: route.clone(),
+            members: Arc::clone(&members),
+            links: Arc::clone(&links),
+            clock: self.clock.clone(),
+            spawner: self.spawner.clone(),
+        };
+        self.spawner.spawn(crash_sender.run());
+        let stall_sender = NoticeSender::new(stalls, route, members, links);
+        self.spawner.spawn(stall_sender.run());
     }
 
     fn start_control(
@@ -262,7 +281,7 @@
         let configuration = follower(SourceFeed::Configuration, settings.in_force_bound);
         let servers = follower(SourceFeed::Servers, settings.leave_bound);
         let fronts = follower(SourceFeed::Fronts, FRONTS_BOUND);
-        let quarantine_feed = follower(SourceFeed::Quarantined, FRONTS_BOUND);
+        let quarantine_feed = follower(SourceFeed::Quarantined, QUARANTINE_BOUND);
         let order = FeedOrder::new(&self.own, &settings.regions);
         let (release_sender, to_release) = async_channel::unbounded();
         let own = OwnFront {
@@ -288,13 +307,15 @@
             updates,
             stop: self.stop_all.clone(),
         });
+        let guard = Arc::clone(&self.guard);
         std::thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || {
                 let executor = LocalExecutor::new();
                 executor.spawn(configuration.run()).detach();
                 executor.spawn(servers.run()).detach();
-                let publish = membership::publish_quarantined(Arc::clone(&context), quarantined);
+                let publish =
+                    membership::publish_quarantined(Arc::clone(&context), guard, quarantined);
                 executor.spawn(publish).detach();
                 let release =
                     membership::release_quarantined(Arc::clone(&context), order, to_release);
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 pub mod counted_source;
 pub mod crash_guard;
+pub mod crash_notices;
 pub mod fan_out;
 pub mod feed;
 pub mod feed_cache;
--- a/crates/front/src/membership.rs
+++ b/crates/front/src/membership.rs
@@ -1,6 +1,7 @@
 //! Registers this front and the content it quarantines in the store, and
 //! follows the other fronts.
 
+use crate::crash_guard::CrashGuard;
 use crate::feed::{FeedContext, FeedFollower};
 use crate::ports::{FeedSource, SourceError};
 use async_channel::Receiver;
@@ -39,18 +40,14 @@
 ) where
     Source: FeedSource,
 {
-    register(&feed_context, &own).await;
-    let jitter = REGISTRATION_PERIOD.mul_f64(0.5 * fastrand::f64());
-    feed_context.clock.sleep(REGISTRATION_PERIOD + jitter).await;
-    let members = Arc::clone(&feed_context.members);
-    let quarantined = async {
-        // Once others are registered, most fronts need not query the store.
-        while lock(&members).is_empty() && !feed_context.stop.is_cancelled() {
-            feed_context.clock.sleep(RETRY_DELAY).await;
-        }
-        quarantined.run().await;
+    let fronts = async {
+        register(&feed_context, &own).await;
+        let jitter = REGISTRATION_PERIOD.mul_f64(0.5 * fastrand::f64());
+        feed_context.clock.sleep(REGISTRATION_PERIOD + jitter).await;
+        fronts.run().await;
     };
-    future::zip(fronts.run(), quarantined).await;
+    // What others quarantined before this start must be known at once.
+    future::zip(fronts, quarantined.run()).await;
 }
 
 async fn register<Source>(feed_context: &FeedContext<Source>, own: &OwnFront)
@@ -71,28 +68,39 @@
             }
             Err(error) => event!(Warn, "front-not-registered", error = error),
         }
-        let pause = RETRY_DELAY.mul_f64(0.5 + fastrand::f64());
-        feed_context.clock.sleep(pause).await;
+        feed_context.clock.sleep(retry_pause()).await;
     }
 }
 
-/// Writes content that this front quarantines to the store, until stopped.
+/// Writes content that this front quarantines to the store, until stopped. A write
+/// that fails is repeated as long as the content is quarantined.
 pub async fn publish_quarantined<Source>(
     feed_context: Arc<FeedContext<Source>>,
+    guard: Arc<CrashGuard>,
     quarantined: Receiver<ContentHash>,
 ) where
     Source: FeedSource,
 {
     while let Ok(content) = quarantined.recv().await {
-        match feed_context.source.quarantine(content).await {
-            Ok(()) => event!(Info, "content-told", content = content.0),
-            Err(error) => {
-                event!(Warn, "content-not-told", content = content.0, error = error);
+        while guard.is_quarantined(content) && !feed_context.stop.is_cancelled() {
+            match feed_context.source.quarantine(content).await {
+                Ok(()) => {
+                    event!(Info, "content-told", content = content.0);
+                    break;
+                }
+                Err(error) => {
+                    event!(Warn, "content-not-told", content = content.0, error = error);
+                }
             }
+            feed_context.clock.sleep(retry_pause()).await;
         }
     }
 }
 
+fn retry_pause() -> Duration {
+    RETRY_DELAY.mul_f64(0.5 + fastrand::f64())
+}
+
 /// Deletes quarantined content from the store after `RELEASE_AFTER`. The first
 /// front of each failure domain does so, whichever front wrote it.
 pub async fn release_quarantined<Source>(
--- a/crates/front/src/peer_port.rs
+++ b/crates/front/src/peer_port.rs
@@ -1,5 +1,6 @@
-//! Answers other fronts' queries for feeds, and receives their stall notices.
+//! Answers other fronts' queries for feeds, and receives their notices.
 
+use crate::crash_guard::CrashGuard;
 use crate::feed_cache::{FeedCache, FeedQuery, FeedReply};
 use crate::stall_notices::StallNotices;
 use async_channel::Receiver;
@@ -22,8 +23,10 @@
 pub struct PeerPort {
     /// The cached feeds.
     pub feed_cache: Arc<FeedCache>,
-    /// Receives notices.
+    /// Receives notices of stalls.
     pub stall_notices: Arc<StallNotices>,
+    /// Receives notices of crashes.
+    pub guard: Arc<CrashGuard>,
     /// Connections to peers.
     pub links: Arc<PeerLinks>,
     /// The front's clock.
@@ -56,14 +59,16 @@
         while let Ok(connection) = connections.recv().await {
             let port = self.clone();
             self.spawner.spawn(async move {
-                let notices = port.receive_notices(&connection);
+                let stalls = port.receive_stall_notices(&connection);
+                let crashes = port.receive_crash_notices(&connection);
                 let queries = port.serve_queries(&connection);
-                queries.or(notices).or(port.stop.cancelled()).await;
+                let stopped = port.stop.cancelled();
+                queries.or(stalls).or(crashes).or(stopped).await;
             });
         }
     }
 
-    async fn receive_notices(&self, connection: &Connection) {
+    async fn receive_stall_notices(&self, connection: &Connection) {
         // Fails when the connection is closed.
         while let Ok(bytes) = connection.read_datagram().await {
             self.stall_notices
@@ -71,6 +76,19 @@
         }
     }
 
+    async fn receive_crash_notices(&self, connection: &Connection) {
+        // Fails when the connection is closed.
+        while let Ok(mut receiver) = connection.accept_uni().await {
+            let guard = Arc::clone(&self.guard);
+            self.spawner.spawn(async move {
+                match frame::read(&mut receiver).await {
+                    Ok(batch) => guard.receive(batch),
+                    Err(error) => event!(Info, "crash-notice-malformed", error = error),
+                }
+            });
+        }
+    }
+
     async fn serve_queries(&self, connection: &Connection) {
         // Fails when the connection is closed.
         while let Ok((sender, receiver)) = connection.accept_bi().await {
--- a/crates/policy/src/feed_order.rs
+++ b/crates/policy/src/feed_order.rs
@@ -110,9 +110,7 @@
         in_own_domain: bool,
     ) -> Vec<&'members FrontRecord> {
         let wanted = |member: &&FrontRecord| (member.domain == self.own.domain) == in_own_domain;
-        let mut ranked: Vec<&FrontRecord> = members.iter().filter(wanted).collect();
-        ranked.sort_by_key(|member| std::cmp::Reverse(score(&self.own.domain, &member.vm)));
-        ranked
+        ranked_for(&self.own.domain, members.iter().filter(wanted))
     }
 }
 
@@ -125,6 +123,28 @@
     in_domain.max_by_key(|member| score(domain, &member.vm))
 }
 
+/// The fronts of a failure domain, from the highest score to the lowest.
+pub fn ranked_in_domain<'members>(
+    domain: &FailureDomain,
+    members: &'members [FrontRecord],
+) -> Vec<&'members FrontRecord> {
+    let in_domain = members.iter().filter(|member| member.domain == *domain);
+    ranked_for(domain, in_domain)
+}
+
+/// Sorts fronts by their scores for a failure domain, the highest first.
+fn ranked_for<'members, Members>(
+    domain: &FailureDomain,
+    members: Members,
+) -> Vec<&'members FrontRecord>
+where
+    Members: Iterator<Item = &'members FrontRecord>,
+{
+    let mut ranked: Vec<&FrontRecord> = members.collect();
+    ranked.sort_by_key(|member| std::cmp::Reverse(score(domain, &member.vm)));
+    ranked
+}
+
 /// A hash of a failure domain and a front, by which the domain orders fronts. All
 /// fronts of the domain compute the same scores; for another domain they differ, so
 /// that not all domains query the same front.
--- a/crates/policy/src/notice_route.rs
+++ b/crates/policy/src/notice_route.rs
@@ -1,11 +1,16 @@
-//! Routing of short-lived notices among the fronts of a region.
+//! Routing of notices among fronts.
 //!
 //! The first front of each failure domain (see [`crate::feed_order`]) forwards
-//! notices: the domain's other fronts are already connected to it, so no front
-//! needs connections to all others. Delivery is best effort; a front that needs
-//! certainty queries the store.
+//! short-lived notices in its region: the domain's other fronts are already
+//! connected to it, so no front needs connections to all others. Delivery is best
+//! effort.
+//!
+//! Rare notices for all fronts are flooded: each front sends a notice that is new to
+//! it to its neighbours. The first two fronts of each domain are neighbours of one
+//! another and of all fronts of their domain, so a notice still reaches all others
+//! when a front of each domain is silent.
 
-use crate::feed_order::first_in_domain;
+use crate::feed_order::{first_in_domain, ranked_in_domain};
 use camphorway_model::{FailureDomain, FrontRecord};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap};
@@ -22,6 +27,9 @@
     WithinDomain,
 }
 
+/// The number of fronts of a failure domain that flood notices to all others.
+const FLOODING_FRONTS: usize = 2;
+
 /// Decides to which fronts this front forwards notices.
 #[derive(Clone, Debug)]
 pub struct NoticeRoute {
@@ -72,6 +80,30 @@
         targets
     }
 
+    /// The neighbours of this front, to which it sends each flooded notice that is
+    /// new to it.
+    pub fn neighbours(&self, members: &[FrontRecord]) -> Vec<SocketAddr> {
+        let domains: BTreeSet<&FailureDomain> =
+            members.iter().map(|member| &member.domain).collect();
+        let flooding = |domain: &FailureDomain| {
+            let ranked = ranked_in_domain(domain, members).into_iter();
+            ranked.take(FLOODING_FRONTS)
+        };
+        let is_own = |member: &&FrontRecord| member.vm == self.own.vm;
+        let own_domain = &self.own.domain;
+        if !flooding(own_domain).any(|member| is_own(&member)) {
+            return flooding(own_domain).map(|member| member.address).collect();
+        }
+        let domain_members = members
+            .iter()
+            .filter(|member| member.domain == *own_domain && !is_own(member));
+        let others = domains.into_iter().filter(|domain| *domain != own_domain);
+        domain_members
+            .chain(others.flat_map(flooding))
+            .map(|member| member.address)
+            .collect()
+    }
+
     /// The first fronts of the region's other failure domains.
     fn firsts_of_other_domains(&self, members: &[FrontRecord]) -> Vec<SocketAddr> {
         let own_region = self.regions.get(&self.own.domain);
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod configuration;
+mod crashing_content;
 mod departures;
 mod faults;
 mod logs;
--- /dev/null
+++ b/tests/all/front/crashing_content.rs
@@ -0,0 +1,111 @@
+//! Content that crashes the servers that run it is kept from them at all fronts,
+//! whichever of them meet it, the store and each other.
+
+use super::{new_id, testbed};
+use camphorway_standins::front::signed_server::{POISON, SignedServer};
+use camphorway_standins::front::tcp_proxy::ProxyFault;
+use camphorway_standins::front::testbed::{FrontTestbed, records};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Fronts have discovered each other after this time.
+const DISCOVERY_TIME: Duration = Duration::from_secs(4);
+/// The pause between a caller's attempts.
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(300);
+/// The time after the third crash from which the users count further attempts.
+const KNOWN_AFTER: Duration = Duration::from_secs(5);
+
+/// Registers `count` more servers of the first service.
+fn add_servers(testbed: &FrontTestbed, count: usize) -> Vec<Arc<SignedServer>> {
+    let start = |index: usize| {
+        let server = SignedServer::start(&format!("i-more-{index}"), records(0));
+        let server = server.expect("a server");
+        let domain = ["a", "b", "c"][index % 3];
+        testbed.register(&server, "service0", domain, "ready");
+        server
+    };
+    (0..count).map(start).collect()
+}
+
+fn terminated(testbed: &FrontTestbed, more: &[Arc<SignedServer>]) -> usize {
+    let servers = testbed.servers.iter().flatten().chain(more);
+    servers.filter(|server| server.is_terminated()).count()
+}
+
+fn send(testbed: &FrontTestbed, front: usize, path: &str) -> u16 {
+    let answer = testbed.send_request(front, "GET", path, &new_id());
+    answer.expect("an answer").status()
+}
+
+/// Crashes were counted at each front alone: a request that crashed one server and
+/// came again at another front each time was never quarantined.
+#[test]
+fn content_that_comes_again_at_another_front_each_time_is_quarantined() {
+    let testbed = testbed(1, 9);
+    let more = add_servers(&testbed, 9);
+    std::thread::sleep(DISCOVERY_TIME);
+    let path = format!("/once/{POISON}");
+    for front in 0..9 {
+        send(&testbed, front, &path);
+        std::thread::sleep(ATTEMPT_PAUSE);
+    }
+    assert!(terminated(&testbed, &more) <= 3, "three servers at most");
+    assert_eq!(send(&testbed, 0, &path), 503);
+    assert_eq!(send(&testbed, 8, "/once/harmless"), 200);
+}
+
+/// Starts three fronts of one failure domain, each with a proxy of its own in front
+/// of the store.
+fn proxied_fronts() -> FrontTestbed {
+    let mut testbed = testbed(1, 0);
+    for _ in 0..3 {
+        testbed
+            .add_front_with_store_proxy("a")
+            .expect("another front");
+    }
+    testbed.wait_ready().expect("all are ready");
+    testbed
+}
+
+/// Sends crashing content to a front while another front, or the same one, can't
+/// reach the store, and then to all others.
+fn check_quarantine_with_cut_front(is_observer_cut: bool) {
+    let testbed = proxied_fronts();
+    let more = add_servers(&testbed, 9);
+    std::thread::sleep(DISCOVERY_TIME);
+    let path = format!("/s0/{POISON}");
+    for observer in 0..3 {
+        let path = format!("{path}/{observer}");
+        let cut = (0..3).filter(|front| (*front == observer) == is_observer_cut);
+        let cut: Vec<_> = cut.map(|front| &testbed.fronts[front]).collect();
+        for front in &cut {
+            let proxy = front.store_proxy.as_ref().expect("a proxy");
+            proxy.set_fault(ProxyFault::HoldFromTarget);
+        }
+        send(&testbed, observer, &path);
+        std::thread::sleep(KNOWN_AFTER);
+        let before = terminated(&testbed, &more);
+        for front in 0..3 {
+            let status = send(&testbed, front, &path);
+            assert_eq!(status, 503, "front {front}, observer {observer}");
+        }
+        assert_eq!(terminated(&testbed, &more), before);
+        for front in &cut {
+            let proxy = front.store_proxy.as_ref().expect("a proxy");
+            proxy.set_fault(ProxyFault::None);
+        }
+        std::thread::sleep(DISCOVERY_TIME);
+    }
+}
+
+/// The verdict travelled only through the store, and was written once.
+#[test]
+fn a_front_that_is_cut_off_from_the_store_tells_others_what_crashes_servers() {
+    check_quarantine_with_cut_front(true);
+}
+
+/// A front that others ask for the quarantine was silent for longer than allowed.
+#[test]
+fn fronts_that_are_cut_off_from_the_store_learn_what_crashes_servers() {
+    check_quarantine_with_cut_front(false);
+}
