Quarantine: one answered shard shows that a query crashes no server

What callers saw: a harmless query refused for 30 s or more.

Cause: when servers of two shards end under a query by themselves, two crashes are counted and the query's content is quarantined, although other shards answered the same content. Content that crashes servers crashes each one that runs it. An answer that came during the quarantine was ignored.

Change: the calls of one request share what they show: after an answer no crash is counted, and an answer after a loss clears the content, also during a quarantine. The evaluation of a call moves from fan_out.rs to fan_out/running_call.rs.

--- a/crates/front/src/crash_guard.rs
+++ b/crates/front/src/crash_guard.rs
@@ -108,10 +108,10 @@
     pub fn record_success(&self, content: ContentHash) {
         let now = self.clock.now();
         let mut table = lock(&self.table);
-        let was_suspect = table.verdict(content, CanaryMode::Suspects, now);
+        let before = table.verdict(content, CanaryMode::Suspects, now);
         table.record_success(content, now);
         drop(table);
-        if was_suspect == ContentVerdict::SuspectAlone {
+        if before != ContentVerdict::Unrestricted {
             self.notify(CrashNotice::Cleared(ClearReport { content, age_ms: 0 }));
         }
     }
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -8,6 +8,7 @@
 mod extra;
 mod finish;
 mod part;
+mod running_call;
 mod times;
 
 pub use budgets::CallBudgets;
@@ -16,17 +17,16 @@
 use crate::answer::RoutedAnswer;
 use crate::crash_guard::CrashGuard;
 use crate::fan_out::part::{PartCall, PartProgress};
+use crate::fan_out::running_call::{ContentEvidence, RunningCall};
 use crate::feed_cache::FeedCache;
 use crate::metrics::FrontMetrics;
 use crate::ports::WireDialect;
 use crate::server_call::{
-    CallEnd, CallSpec, LostCause, MAX_IDLE, NON_IDEMPOTENT_MAX_IDLE, NotRunCause, ServerClient,
-    UnsentCause,
+    CallEnd, CallSpec, MAX_IDLE, NON_IDEMPOTENT_MAX_IDLE, NotRunCause, ServerClient, UnsentCause,
 };
 use crate::service_endpoints::{AcquireError, CallPermit, ServiceEndpoints};
 use crate::view::SharedView;
 use async_channel::{Receiver, Sender};
-use camphorway_daemon::event;
 use camphorway_daemon::metrics::CallPurpose;
 use camphorway_model::{GatherRule, RequestRoute, ServiceName};
 use camphorway_policy::{ContentHash, DispatchLedger, UnsentToken};
@@ -109,6 +109,7 @@
     hedge_deadline: Instant,
     deadline: Instant,
     extra_calls: usize,
+    evidence: Arc<ContentEvidence>,
 }
 
 /// An event that advances a fan-out.
@@ -183,6 +184,7 @@
             hedge_deadline: request.arrived_at + hedge_after,
             deadline: request.arrived_at + time_limit,
             extra_calls: 0,
+            evidence: Arc::default(),
         }
     }
 
@@ -334,45 +336,20 @@
         });
         self.ledger.record_sent(1);
         self.context.metrics.count_server_call(purpose);
-        let context = Arc::clone(self.context);
-        let spec = Arc::clone(&self.spec);
+        let running = RunningCall {
+            context: Arc::clone(self.context),
+            spec: Arc::clone(&self.spec),
+            route: Arc::clone(route),
+            endpoint,
+            purpose,
+            content: self.request.content,
+            is_suspect: self.request.is_suspect,
+            evidence: Arc::clone(&self.evidence),
+        };
         let disconnected = self.request.disconnected.clone();
         let sender = self.sender.clone();
-        let route = Arc::clone(route);
-        let (hash, is_suspect) = (self.request.content, self.request.is_suspect);
         self.context.client.spawner.spawn(async move {
-            let started_at = permit.started_at();
-            let end = context.client.call(&spec, permit, &disconnected).await;
-            let took = context
-                .client
-                .clock
-                .now()
-                .saturating_duration_since(started_at);
-            if let CallEnd::Lost(LostCause::ConnectionLost) = &end {
-                context.guard.check_for_crash(hash, &endpoint);
-            }
-            if let CallEnd::Answered(answer) = &end
-                && answer.status.is_success()
-            {
-                // An earlier call may have caused a crash that is not detected
-                // yet; this success then clears the content.
-                if is_suspect || purpose != CallPurpose::First {
-                    context.guard.record_success(hash);
-                }
-                context.times.record(&route, distance, took);
-            } else {
-                event!(
-                    Info,
-                    "server-call-failed",
-                    request = spec.head.id,
-                    route = route.name,
-                    server = endpoint.name(),
-                    purpose = purpose,
-                    end = end.name(),
-                    took_us = took.as_micros()
-                );
-            }
-            context.metrics.count_call_end(&end);
+            let end = running.run(permit, &disconnected).await;
             // Fails only if the request has been answered already.
             let _ = sender.try_send(FanOutEvent::Ended { part, call, end });
         });
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -245,10 +245,6 @@
         let Some(suspect) = self.suspects.get_mut(&content) else {
             return;
         };
-        // A success during the quarantine is of a call that began before it.
-        if suspect.quarantine.is_some_and(|latest| at < latest.until) {
-            return;
-        }
         suspect.crashes.retain(|_, crash| crash.at > at);
         if suspect.crashes.is_empty() {
             self.suspects.remove(&content);
--- a/tests/all/front/crashing_content.rs
+++ b/tests/all/front/crashing_content.rs
@@ -4,7 +4,7 @@
 use super::{new_id, testbed};
 use camphorway_standins::front::signed_server::{POISON, SignedServer};
 use camphorway_standins::front::tcp_proxy::ProxyFault;
-use camphorway_standins::front::testbed::{FrontTestbed, records};
+use camphorway_standins::front::testbed::{FrontTestbed, exchange, records, request_text};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -109,3 +109,32 @@
 fn fronts_that_are_cut_off_from_the_store_learn_what_crashes_servers() {
     check_quarantine_with_cut_front(false);
 }
+
+/// A query was quarantined because servers of several shards ended under it, though
+/// another shard answered it: its content does not crash servers.
+#[test]
+fn a_query_that_one_shard_answers_is_not_quarantined() {
+    let mut testbed = testbed(3, 0);
+    testbed.budget = "ratio = 0\nallowance = 0\n";
+    testbed.add_front("a").expect("a front");
+    testbed.wait_ready().expect("it is ready");
+    for server in testbed.servers.iter().flatten() {
+        server.set_service_time(Duration::from_millis(100));
+    }
+    let address = testbed.fronts[0].caller_address;
+    let query = std::thread::spawn(move || {
+        let text = request_text("GET", "/all/same", &new_id(), 900);
+        exchange(address, text.as_bytes())
+    });
+    std::thread::sleep(Duration::from_millis(50));
+    for servers in &testbed.servers[..2] {
+        let called = servers
+            .iter()
+            .filter(|server| !server.arrivals().is_empty());
+        called.for_each(|server| server.terminate());
+    }
+    let answer = query.join().expect("a thread").expect("an answer");
+    assert_ne!(answer.status(), 200, "two of three shards are lost");
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(send(&testbed, 0, "/all/same"), 200);
+}
