Fronts run a suspect query at one server before the others

Cause: a front only kept a suspect from being retried; its first calls went to all shards at once.

Change: the parts of a suspect query after the first are held back until the first one is answered; without an answer they are not called, and the query ends.

--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -82,8 +82,8 @@
     pub gather: Option<GatherRule>,
     /// The hash of the request's content.
     pub content: ContentHash,
-    /// Whether the content may have crashed a server. If so, it isn't hedged, nor
-    /// retried once it may have run.
+    /// Whether the content may have crashed a server. If so, its first part runs
+    /// before the others, and it isn't hedged, nor retried once it may have run.
     pub is_suspect: bool,
     /// The request's arrival time.
     pub arrived_at: Instant,
@@ -191,8 +191,12 @@
     async fn drive(&mut self) {
         let services = &self.request.services;
         self.context.budgets.earn(services, self.now());
-        for part in 0..self.progress.len() {
-            self.start(part, CallPurpose::First);
+        if self.request.is_suspect {
+            self.hold_after_first();
+            self.start(0, CallPurpose::First);
+            self.release_held();
+        } else {
+            self.start_all();
         }
         while !self.is_finished() {
             match self.next_event().await {
@@ -204,6 +208,35 @@
                 }
                 FanOutEvent::Timer => self.send_due_hedges(),
             }
+            self.release_held();
+        }
+    }
+
+    fn start_all(&mut self) {
+        for part in 0..self.progress.len() {
+            self.start(part, CallPurpose::First);
+        }
+    }
+
+    /// Holds all parts back until the first one has shown that the content crashes
+    /// no server.
+    fn hold_after_first(&mut self) {
+        for part in self.progress.iter_mut().skip(1) {
+            part.is_held = true;
+        }
+    }
+
+    /// Starts the parts that were held back once the first one is answered; without
+    /// an answer they are not called.
+    fn release_held(&mut self) {
+        if !self.progress.iter().any(|part| part.is_held) || !self.progress[0].is_done() {
+            return;
+        }
+        for part in 1..self.progress.len() {
+            self.progress[part].is_held = false;
+            if self.progress[0].answer.is_some() {
+                self.start(part, CallPurpose::First);
+            }
         }
     }
 
--- a/crates/front/src/fan_out/part.rs
+++ b/crates/front/src/fan_out/part.rs
@@ -17,6 +17,8 @@
     pub(super) calls: Vec<PartCall>,
     pub(super) rejected: usize,
     pub(super) is_waiting: bool,
+    /// Whether the part is called only after another one has been answered.
+    pub(super) is_held: bool,
     /// Whether a call was late or has failed.
     pub(super) has_late_or_failed_call: bool,
     /// The time to retry a hedge that could not be sent.
@@ -46,6 +48,7 @@
             calls: Vec::new(),
             rejected: 0,
             is_waiting: false,
+            is_held: false,
             has_late_or_failed_call: false,
             hedge_at: None,
             answer: None,
@@ -57,7 +60,7 @@
     /// Whether the part has an answer, or neither runs nor waits for a call.
     pub(super) fn is_done(&self) -> bool {
         let is_running = self.calls.iter().any(|call| call.is_running);
-        self.answer.is_some() || !(is_running || self.is_waiting)
+        self.answer.is_some() || !(is_running || self.is_waiting || self.is_held)
     }
 
     /// Whether a call was late or has failed, and no running call is on time.
--- a/tests/all/front/crashing_content.rs
+++ b/tests/all/front/crashing_content.rs
@@ -4,7 +4,9 @@
 use super::{new_id, testbed};
 use camphorway_standins::front::signed_server::{POISON, SignedServer};
 use camphorway_standins::front::tcp_proxy::ProxyFault;
-use camphorway_standins::front::testbed::{FrontTestbed, exchange, records, request_text};
+use camphorway_standins::front::testbed::{
+    FrontTestbed, exchange, records, request_text, service_name,
+};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +14,8 @@
 const DISCOVERY_TIME: Duration = Duration::from_secs(4);
 /// The pause between a caller's attempts.
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(300);
+/// Content that crashed servers is refused for this time at first.
+const QUARANTINE_TIME: Duration = Duration::from_secs(31);
 /// The time after the third crash from which the users count further attempts.
 const KNOWN_AFTER: Duration = Duration::from_secs(5);
 
@@ -110,6 +114,30 @@
     check_quarantine_with_cut_front(false);
 }
 
+/// A query whose content had been quarantined ran at all its shards once that ended,
+/// and ended a server of each.
+#[test]
+fn a_suspect_query_runs_at_one_server_before_the_others() {
+    let testbed = testbed(3, 1);
+    let path = format!("/all/{POISON}");
+    send(&testbed, 0, &path);
+    std::thread::sleep(QUARANTINE_TIME);
+    let replace = |service: usize| {
+        let name = format!("i-new-{service}");
+        let server = SignedServer::start(&name, records(service)).expect("a server");
+        testbed.register(&server, &service_name(service), "a", "ready");
+        server
+    };
+    let new: Vec<_> = (0..3).map(replace).collect();
+    std::thread::sleep(DISCOVERY_TIME);
+    let before = terminated(&testbed, &new);
+    assert_ne!(send(&testbed, 0, &path), 200);
+    std::thread::sleep(ATTEMPT_PAUSE);
+    assert_eq!(terminated(&testbed, &new), before + 1);
+    assert_eq!(send(&testbed, 0, &path), 503, "quarantined again");
+    assert_eq!(terminated(&testbed, &new), before + 1);
+}
+
 /// A query was quarantined because servers of several shards ended under it, though
 /// another shard answered it: its content does not crash servers.
 #[test]
