A front that restarts has its configuration confirmed before it waits for others

What callers saw: a front that had just restarted served by a configuration seconds old.

Cause: the first list is read cheaply and may be stale. The follower then waits up to 2.1 s for other fronts to be registered, so that not every front asks the store when all start at once; but at a restart callers come at once, and the wait came before the store was asked what had changed.

Evidence: front::peers::a_front_that_restarts_beside_a_silent_one_soon_has_the_newest_configuration failed on the code before (not in force after 3 s). The store's stand-in can now answer lists that may be stale from an older state.

Change: at a restart the follower asks the store for changes first and waits then. The first start of all fronts stays as it was. Cost: one call of the store for each restarted front and feed, of those that were asked by other fronts before.

--- a/crates/front/src/feed.rs
+++ b/crates/front/src/feed.rs
@@ -105,8 +105,20 @@
     pub times: FeedTimes,
     /// Orders the origins.
     pub order: FeedOrder,
-    /// Whether changes may wait until other fronts are registered.
-    pub may_wait_for_members: bool,
+    /// When changes may wait until other fronts are registered.
+    pub settling: SettlingPoint,
+}
+
+/// When a follower that has just started waits for other fronts to be registered,
+/// since it queries those instead of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SettlingPoint {
+    /// After the first list, which may be stale.
+    FirstList,
+    /// After the store has confirmed the first list or told what has changed.
+    Confirmation,
+    /// Not at all.
+    Never,
 }
 
 /// Items, and when the store confirmed them; `None` if they may be stale.
@@ -195,14 +207,19 @@
         if request.revision.is_none() {
             feed_cache.replace_all(self.feed, &items, confirmed_at);
             self.send_update(FeedUpdate::Listed(self.feed, items)).await;
-            if confirmed_at.is_none() && self.may_wait_for_members {
+            if confirmed_at.is_none() && self.settling == SettlingPoint::FirstList {
                 self.wait_for_members().await;
             }
             return next;
         }
         feed_cache.apply_changes(self.feed, &items, confirmed_at);
-        if !items.items.is_empty() {
+        let is_change = !items.items.is_empty();
+        if is_change {
             self.send_update(FeedUpdate::Changed(items)).await;
+        }
+        if request.confirmed_at.is_none() && self.settling == SettlingPoint::Confirmation {
+            self.wait_for_members().await;
+        } else if is_change {
             self.context.clock.sleep(CHANGE_BATCH_DELAY).await;
         }
         next
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -5,7 +5,7 @@
 use crate::crash_guard::CrashGuard;
 use crate::crash_notices::{CrashNotice, CrashNoticeSender};
 use crate::fan_out::{CallBudgets, CallTimes, FanOutContext};
-use crate::feed::{FeedContext, FeedFollower, FeedTimes};
+use crate::feed::{FeedContext, FeedFollower, FeedTimes, SettlingPoint};
 use crate::feed_cache::FeedCache;
 use crate::gauges::FrontGauges;
 use crate::membership::{self, OwnFront};
@@ -275,8 +275,15 @@
             feed,
             times: FeedTimes::within(bound),
             order: FeedOrder::new(&self.own, &settings.regions),
-            // After an outage servers register one by one while callers wait.
-            may_wait_for_members: !(settings.is_restart && feed == SourceFeed::Servers),
+            settling: match (settings.is_restart, feed) {
+                (false, _) => SettlingPoint::FirstList,
+                // After an outage servers register one by one while callers wait.
+                (true, SourceFeed::Servers) => SettlingPoint::Never,
+                (
+                    true,
+                    SourceFeed::Configuration | SourceFeed::Fronts | SourceFeed::Quarantined,
+                ) => SettlingPoint::Confirmation,
+            },
         };
         let configuration = follower(SourceFeed::Configuration, settings.in_force_bound);
         let servers = follower(SourceFeed::Servers, settings.leave_bound);
--- a/crates/standins/src/front/object_store.rs
+++ b/crates/standins/src/front/object_store.rs
@@ -36,6 +36,15 @@
     min_watch_revision: u64,
     fault: StoreFault,
     calls: u64,
+    /// The state from which lists that may be stale are answered, if not the newest.
+    stale: Option<StoreSnapshot>,
+}
+
+/// The objects at one revision.
+#[derive(Clone, Debug)]
+struct StoreSnapshot {
+    objects: BTreeMap<(String, String), Value>,
+    revision: u64,
 }
 
 /// The result of a call.
@@ -82,6 +91,21 @@
         self.changed.notify_all();
     }
 
+    /// Answers lists that may be stale from the state of now until the next call of
+    /// this function or of [`Self::refresh_stale_lists`].
+    pub fn hold_stale_lists(&self) {
+        let mut state = self.lock();
+        state.stale = Some(StoreSnapshot {
+            objects: state.objects.clone(),
+            revision: state.revision,
+        });
+    }
+
+    /// Answers lists that may be stale from the newest state again.
+    pub fn refresh_stale_lists(&self) {
+        self.lock().stale = None;
+    }
+
     /// Number of calls received so far.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -168,7 +192,9 @@
             return Ok(CallResult::Response(status, body));
         }
         let after = query.get("after").unwrap_or(&"");
-        Ok(CallResult::Response(200, self.list(kind, after)))
+        let may_be_stale = query.get("staleOk") == Some(&"1");
+        let page = self.list(kind, after, may_be_stale);
+        Ok(CallResult::Response(200, page))
     }
 
     /// Handles a write: POST creates, PUT replaces, DELETE removes.
@@ -221,15 +247,19 @@
         }
     }
 
-    fn list(&self, kind: &str, after: &str) -> Value {
+    fn list(&self, kind: &str, after: &str, may_be_stale: bool) -> Value {
         let state = self.lock();
-        let of_kind = state.objects.iter().filter(|((other, _), _)| other == kind);
+        let (objects, revision) = match &state.stale {
+            Some(snapshot) if may_be_stale => (&snapshot.objects, snapshot.revision),
+            Some(_) | None => (&state.objects, state.revision),
+        };
+        let of_kind = objects.iter().filter(|((other, _), _)| other == kind);
         let later: Vec<&Value> = of_kind
             .filter(|((_, name), _)| name.as_str() > after)
             .map(|(_, object)| object)
             .collect();
         let items: Vec<&&Value> = later.iter().take(PAGE_SIZE).collect();
-        json!({ "items": items, "more": later.len() > PAGE_SIZE, "atRev": state.revision })
+        json!({ "items": items, "more": later.len() > PAGE_SIZE, "atRev": revision })
     }
 
     fn watch(&self, kind: &str, after: u64, wait: Duration) -> io::Result<CallResult> {
--- a/tests/all/front/peers.rs
+++ b/tests/all/front/peers.rs
@@ -3,6 +3,7 @@
 use super::{new_id, testbed, wait_version};
 use camphorway_model::{FailureDomain, FrontRecord, PeerKey};
 use camphorway_policy::feed_order::first_in_domain;
+use camphorway_standins::fleet::wait_for;
 use camphorway_standins::front::object_store::StoreFault;
 use camphorway_standins::front::signed_server::POISON;
 use camphorway_standins::front::tcp_proxy::ProxyFault;
@@ -138,6 +139,32 @@
     }
 }
 
+/// A front that restarts reads a list that may be old. It served by it for seconds
+/// while it waited for other fronts, and then for one that was silent.
+#[test]
+fn a_front_that_restarts_beside_a_silent_one_soon_has_the_newest_configuration() {
+    let mut testbed = testbed(1, 0);
+    testbed.budget = "ratio = 0.2\nrestart = true\n";
+    for _ in 0..2 {
+        testbed.add_front("a").expect("another front");
+    }
+    testbed.wait_ready().expect("both are ready");
+    std::thread::sleep(DISCOVERY_TIME);
+    let [first, second] = feed_order(&testbed)[..] else {
+        panic!("two fronts");
+    };
+    testbed.store.hold_stale_lists();
+    let process = &testbed.fronts[first].process;
+    process.signal(Signal::STOP).expect("a signal");
+    let version = testbed.configure(&testbed.routes());
+    testbed.restart_front(second).expect("it restarts");
+    let front = &testbed.fronts[second];
+    wait_for(|| front.is_ready(), "the restarted front").expect("it is ready");
+    wait_version(&testbed, second, version);
+    let process = &testbed.fronts[first].process;
+    process.signal(Signal::CONT).expect("a signal");
+}
+
 #[test]
 fn a_front_that_restarts_alone_during_a_store_outage_serves_after_it() {
     let mut testbed = two_fronts_of_one_domain();
