Fronts keep to the limit that a server names for all of them together

Cause: the header was not read, and a front alone could not know its part of a limit that holds for all fronts.

Change: what a server says of itself is decoded in the adapter into ServerSignals and applied to the server's endpoint, whatever the answer's status. Each front takes its part: the nearest fronts share the server, weighted 3, 2, 1 by distance; their number is bounded by the limit, so that the calls they may have saved up stay within the tolerance of one and a half times and 5; others probe in short slots. Requests wait for the pace by rank, or are refused at once with the time at which a server opens if that is too late. No store call, no message.

Ruled out: equal parts of all fronts (nearby servers half unused); parts by demand, which need messages.

--- a/crates/daemon/src/metric_set.rs
+++ b/crates/daemon/src/metric_set.rs
@@ -32,7 +32,12 @@
 
     /// Creates a family of gauges with one label.
     pub fn gauges(&self, name: &str, help: &str, label: &str) -> IntGaugeVec {
-        self.register(IntGaugeVec::new(Opts::new(name, help), &[label]))
+        self.gauges_by(name, help, &[label])
+    }
+
+    /// Creates a family of gauges with `labels`.
+    pub fn gauges_by(&self, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+        self.register(IntGaugeVec::new(Opts::new(name, help), labels))
     }
 
     /// Creates a family of histograms of seconds with one label. The last argument
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -318,20 +318,31 @@
             Err(AcquireError::NoServer) => {
                 self.progress[part].last_event = "no-server";
                 if let Some(until) = view.settles_at.filter(|until| now < *until) {
-                    self.wait_for_capacity(part, endpoints, until);
+                    self.wait_for_capacity(part, endpoints, until, None);
                 }
             }
-            Err(AcquireError::Busy) => self.wait_for_capacity(part, endpoints, self.deadline),
+            Err(AcquireError::Busy(opens_at)) => {
+                self.wait_for_capacity(part, endpoints, self.deadline, opens_at);
+            }
+            Err(AcquireError::ClosedUntil(at)) if at < self.deadline => {
+                self.progress[part].last_event = "servers-closed";
+                self.wait_for_capacity(part, endpoints, self.deadline, Some(at));
+            }
+            Err(AcquireError::ClosedUntil(at)) => {
+                self.progress[part].last_event = "servers-closed";
+                self.progress[part].opens_at = Some(at);
+            }
         }
     }
 
-    /// Retries the part when a server may be free or newly registered, at the
-    /// latest at `until`.
+    /// Retries the part when a server may be free or newly registered, or opens at
+    /// `opens_at`, at the latest at `until`.
     fn wait_for_capacity(
         &mut self,
         part: usize,
         endpoints: &Arc<ServiceEndpoints>,
         until: Instant,
+        opens_at: Option<Instant>,
     ) {
         self.progress[part].is_waiting = true;
         let endpoints = Arc::clone(endpoints);
@@ -342,7 +353,7 @@
         self.context.client.spawner.spawn(async move {
             let capacity = async {
                 endpoints
-                    .wait_for_capacity(priority)
+                    .wait_for_capacity(priority, opens_at, &clock)
                     .or(clock.sleep_until(until))
                     .await;
                 // Fails only if the request has ended.
--- a/crates/front/src/fan_out/finish.rs
+++ b/crates/front/src/fan_out/finish.rs
@@ -11,6 +11,8 @@
 
 /// The shortest time after which a refused caller is asked to retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// The largest fraction by which a time to retry is longer than needed.
+const RETRY_SPREAD: f64 = 0.5;
 
 impl<Wire> FanOut<'_, Wire>
 where
@@ -68,13 +70,25 @@
         );
     }
 
+    /// The time after which a refused caller may retry: when the servers that closed
+    /// take calls again, spread so that callers don't return together.
+    fn retry_after(&self) -> Duration {
+        let after = (self.request.route.objective / 4).max(MIN_RETRY_AFTER);
+        let opens_at = self.progress.iter().filter_map(|part| part.opens_at).max();
+        let Some(opens_at) = opens_at else {
+            return after;
+        };
+        let opens_after = opens_at.saturating_duration_since(self.now());
+        after.max(opens_after.mul_f64(1.0 + RETRY_SPREAD * fastrand::f64()))
+    }
+
     /// The answer without enough parts: a refusal only if no server can have
     /// run the request.
     fn fail(self) -> RoutedAnswer {
         let is_late = self.now() >= self.deadline;
         let is_gathered = self.request.gather.is_some();
         self.log_missing("request-without-answer");
-        let retry_after = (self.request.route.objective / 4).max(MIN_RETRY_AFTER);
+        let retry_after = self.retry_after();
         let reason = if is_late {
             RefusalReason::Deadline
         } else {
--- a/crates/front/src/fan_out/part.rs
+++ b/crates/front/src/fan_out/part.rs
@@ -21,6 +21,9 @@
     pub(super) is_held: bool,
     /// Whether a call was late or has failed.
     pub(super) has_late_or_failed_call: bool,
+    /// The time at which a server may be called, if that is too late for this
+    /// request.
+    pub(super) opens_at: Option<Instant>,
     /// The time to retry a hedge that could not be sent.
     pub(super) hedge_at: Option<Instant>,
     pub(super) answer: Option<ServerAnswer>,
@@ -50,6 +53,7 @@
             is_waiting: false,
             is_held: false,
             has_late_or_failed_call: false,
+            opens_at: None,
             hedge_at: None,
             answer: None,
             failure: None,
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -16,6 +16,7 @@
 use crate::request_handler::RequestHandler;
 use crate::server_call::ServerClient;
 use crate::server_endpoint::EndpointSettings;
+use crate::server_limit::SharingFronts;
 use crate::settings::FrontSettings;
 use crate::stall_notices::{NoticeSender, PendingNotice, StallNotices};
 use crate::view::SharedView;
@@ -299,7 +300,11 @@
             view: Arc::clone(&self.view),
             endpoints: EndpointSettings {
                 domain: settings.domain.clone(),
-                regions: Arc::new(settings.regions.clone()),
+                fronts: SharingFronts {
+                    own: settings.vm.clone(),
+                    members: Arc::clone(&members),
+                    regions: Arc::new(settings.regions.clone()),
+                },
                 clock: self.clock.clone(),
             },
             members,
--- a/crates/front/src/gauges.rs
+++ b/crates/front/src/gauges.rs
@@ -41,6 +41,8 @@
     pub connecting: usize,
     /// Calls that wait for a free server.
     pub waiting: usize,
+    /// Servers that name a limit on requests.
+    pub limited: usize,
 }
 
 impl FrontGauges {
@@ -53,8 +55,11 @@
             }
         }
         let mut counts = EndpointCounts::default();
-        for endpoints in self.view.load().services.values() {
+        metrics.clear_signal_counts();
+        for (service, endpoints) in self.view.load().services.iter() {
+            let limited = counts.limited;
             endpoints.add_to(&mut counts, now);
+            metrics.set_signal_count(service, "limit", counts.limited - limited);
         }
         metrics.set_endpoint_counts(&counts);
         let (suspects, quarantined) = self.guard.counts();
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod request_handler;
 pub mod server_call;
 pub mod server_endpoint;
+pub mod server_limit;
 pub mod service_endpoints;
 pub mod settings;
 pub mod stall_notices;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -7,6 +7,7 @@
 use camphorway_daemon::log_sink;
 use camphorway_daemon::metric_set::MetricSet;
 use camphorway_daemon::metrics::CallPurpose;
+use camphorway_model::ServiceName;
 use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 use std::time::Duration;
 
@@ -24,6 +25,7 @@
     servers: IntGaugeVec,
     connections: IntGaugeVec,
     calls: IntGaugeVec,
+    signals: IntGaugeVec,
     contents: IntGaugeVec,
     budget_left: IntGauge,
     /// Extra calls that a budget refused.
@@ -73,6 +75,11 @@
             servers: set.gauges("front_servers", "Servers by state", "state"),
             connections: set.gauges("front_connections", "Connections to servers", "state"),
             calls: set.gauges("front_calls", "Calls of servers by state", "state"),
+            signals: set.gauges_by(
+                "front_server_signals",
+                "Servers that say something of themselves in their answers",
+                &["service", "signal"],
+            ),
             contents: set.gauges(
                 "front_contents",
                 "Contents that crashed servers, by state",
@@ -140,6 +147,19 @@
         set(&self.calls, "waiting", counts.waiting);
     }
 
+    /// Removes the numbers of servers by signal.
+    pub fn clear_signal_counts(&self) {
+        self.signals.reset();
+    }
+
+    /// Sets the number of servers of a service that send a signal.
+    pub fn set_signal_count(&self, service: &ServiceName, signal: &str, count: usize) {
+        if count > 0 {
+            let labels = [service.as_str(), signal];
+            self.signals.with_label_values(&labels).set(count as i64);
+        }
+    }
+
     /// Sets the numbers of suspect and of quarantined contents.
     pub fn set_content_counts(&self, suspects: usize, quarantined: usize) {
         let set = |state: &str, count: usize| {
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -90,10 +90,19 @@
     pub is_encoded: bool,
     /// The time for which the server keeps the idle connection open.
     pub idle_timeout: Option<Duration>,
+    /// What the server says of itself.
+    pub signals: ServerSignals,
     /// The headers to be forwarded.
     pub headers: HeaderMap,
 }
 
+/// What a server says of itself in an answer, whatever its status.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServerSignals {
+    /// Requests a second that it takes from all fronts together.
+    pub rate_limit: Option<f64>,
+}
+
 /// Whether a server ran a request.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum RunStatus {
--- a/crates/front/src/server_call.rs
+++ b/crates/front/src/server_call.rs
@@ -200,7 +200,7 @@
         let request = self.wire.server_request(&request);
         let replied = async {
             match sender.try_send_request(request).await {
-                Ok(response) => self.read_reply(spec, response).await,
+                Ok(response) => self.read_reply(spec, permit, response).await,
                 Err(mut error) => Err(match error.take_message() {
                     Some(_) => CallEnd::Unsent(UnsentCause::Closed),
                     None => CallEnd::Lost(LostCause::ConnectionLost),
@@ -236,11 +236,17 @@
     async fn read_reply(
         &self,
         spec: &CallSpec,
+        permit: &CallPermit,
         response: Response<Incoming>,
     ) -> Result<(ReplyHead, ServerAnswer), CallEnd> {
         let (parts, body) = response.into_parts();
         let mut reply = self.wire.read_reply(&parts);
         let is_mismatched = reply.request.as_ref().is_some_and(|id| *id != spec.head.id);
+        if !is_mismatched {
+            permit
+                .endpoint()
+                .apply_signals(&reply.signals, &spec.head.id);
+        }
         let is_unsigned = parts.status.is_success() && reply.signature.is_none();
         if is_mismatched || is_unsigned || reply.is_encoded {
             return Err(CallEnd::Lost(LostCause::Mismatched));
--- a/crates/front/src/server_endpoint.rs
+++ b/crates/front/src/server_endpoint.rs
@@ -1,6 +1,8 @@
 //! A backend server as a call target: its connections and call statistics.
 
 use crate::gauges::EndpointCounts;
+use crate::ports::ServerSignals;
+use crate::server_limit::{ServerLimit, SharingFronts};
 use camphorway_daemon::clock::DaemonClock;
 use camphorway_daemon::event;
 use camphorway_daemon::http_client::RequestSender;
@@ -8,9 +10,8 @@
 use camphorway_model::{FailureDomain, ServerName, ServerRecord};
 use camphorway_policy::{ReplicaOutcome, ReplicaStats, ServerDistance, StallChange};
 use derive_more::Debug;
-use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// All fronts share a server's connection limit; each uses one ninth of it,
@@ -32,28 +33,17 @@
 pub struct EndpointSettings {
     /// The front's failure domain.
     pub domain: FailureDomain,
-    /// The region of each failure domain.
-    pub regions: Arc<HashMap<FailureDomain, String>>,
+    /// The fronts that share the servers' limits.
+    pub fronts: SharingFronts,
     /// The front's clock.
     pub clock: DaemonClock,
 }
 
-impl EndpointSettings {
-    fn distance(&self, domain: &FailureDomain) -> ServerDistance {
-        if *domain == self.domain {
-            return ServerDistance::Near;
-        }
-        match (self.regions.get(domain), self.regions.get(&self.domain)) {
-            (Some(theirs), Some(own)) if theirs == own => ServerDistance::Region,
-            _ => ServerDistance::Far,
-        }
-    }
-}
-
 /// One backend server: its registration, connections and call statistics.
 #[derive(Debug)]
 pub struct ServerEndpoint {
     record: ServerRecord,
+    fronts: SharingFronts,
     clock: DaemonClock,
     max_connections: AtomicUsize,
     state: Mutex<EndpointState>,
@@ -68,6 +58,8 @@
     connecting: usize,
     /// Whether another server answered at the address.
     is_misdirected: bool,
+    /// The limit that the server names, if any.
+    limit: Option<ServerLimit>,
 }
 
 struct IdleConnection {
@@ -96,10 +88,12 @@
 impl ServerEndpoint {
     /// Creates an endpoint without connections.
     pub fn new(record: &ServerRecord, settings: &EndpointSettings) -> Self {
-        let distance = settings.distance(&record.domain);
+        let fronts = settings.fronts.clone();
+        let distance = fronts.distance(&settings.domain, &record.domain);
         let now = settings.clock.now();
         Self {
             record: record.clone(),
+            fronts,
             clock: settings.clock.clone(),
             max_connections: AtomicUsize::new(MIN_CONNECTIONS),
             state: Mutex::new(EndpointState {
@@ -107,6 +101,7 @@
                 idle: Vec::new(),
                 connecting: 0,
                 is_misdirected: false,
+                limit: None,
             }),
         }
     }
@@ -140,6 +135,37 @@
         state.idle.clear();
     }
 
+    /// Applies what the server said of itself in its answer to `request`.
+    pub fn apply_signals(&self, signals: &ServerSignals, request: &str) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let was_limited = state.limit.is_some();
+        match (signals.rate_limit, &mut state.limit) {
+            (Some(rate), Some(limit)) => limit.renew(rate, &self.record, &self.fronts, now),
+            (Some(rate), None) => {
+                state.limit = Some(ServerLimit::new(rate, &self.record, &self.fronts, now));
+            }
+            (None, _) => state.limit = None,
+        }
+        if was_limited == state.limit.is_some() {
+            return;
+        }
+        let share = state.limit.as_ref().map(ServerLimit::share);
+        drop(state);
+        event!(
+            Info,
+            "server-signal",
+            signal = "limit",
+            server = self.name(),
+            service = self.record.service,
+            value = signals
+                .rate_limit
+                .map_or_else(|| "none".to_owned(), |rate| rate.to_string()),
+            share = share.map_or_else(|| "all".to_owned(), |share| share.to_string()),
+            request = request
+        );
+    }
+
     /// Marks the server as stalled. Returns whether it was not stalled before.
     pub fn mark_stalled(&self) -> bool {
         let now = self.clock.now();
@@ -162,6 +188,7 @@
         counts.running += state.stats.outstanding() as usize;
         counts.idle_connections += state.idle.len();
         counts.connecting += state.connecting;
+        counts.limited += usize::from(state.limit.is_some());
     }
 
     /// The number of running calls.
@@ -198,6 +225,9 @@
     pub(crate) fn begin_call(&self, max_idle: Duration, now: Instant) -> Option<RequestSender> {
         let mut state = self.lock();
         state.stats.record_start(now);
+        if let Some(limit) = &mut state.limit {
+            limit.record_call(now);
+        }
         state.take_idle(max_idle, now)
     }
 
@@ -253,6 +283,7 @@
             is_free: has_slot && has_connection,
             is_healthy: state.stats.is_healthy(now),
             cost: state.stats.cost(now) * (1.0 + COST_JITTER * fastrand::f64()),
+            closed_until: state.limit.as_ref().and_then(|limit| limit.wait_until(now)),
         }
     }
 }
@@ -268,4 +299,6 @@
     pub(crate) is_healthy: bool,
     /// The cost of one more call, in milliseconds.
     pub(crate) cost: f64,
+    /// The time until which the server wants no call of this front.
+    pub(crate) closed_until: Option<Instant>,
 }
--- a/crates/front/src/service_endpoints.rs
+++ b/crates/front/src/service_endpoints.rs
@@ -2,12 +2,14 @@
 //! calls that wait for a free server.
 
 use crate::gauges::EndpointCounts;
-use crate::server_endpoint::ServerEndpoint;
+use crate::server_endpoint::{EndpointStatus, ServerEndpoint};
+use camphorway_daemon::clock::DaemonClock;
 use camphorway_daemon::http_client::RequestSender;
 use camphorway_daemon::sync::lock;
 use camphorway_model::ServerName;
 use camphorway_policy::{ReplicaOutcome, StallChange};
 use derive_more::Debug;
+use futures_lite::FutureExt;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -56,8 +58,11 @@
     NoServer,
     /// All servers were tried or are unusable.
     AllTried,
-    /// All servers are at their limit of calls.
-    Busy,
+    /// All servers are at their limit of calls. One that wants no call until a time
+    /// may be called then.
+    Busy(Option<Instant>),
+    /// No server wants a call before this time.
+    ClosedUntil(Instant),
 }
 
 impl ServiceEndpoints {
@@ -103,7 +108,8 @@
     /// connection if one has been idle for at most `max_idle`.
     ///
     /// # Errors
-    /// Returns why there is none; only `Busy` servers may become free later.
+    /// Returns why there is none; `Busy` servers may become free later, and closed
+    /// ones at the time named.
     pub fn acquire(
         &self,
         tried: &[ServerName],
@@ -136,9 +142,14 @@
         Ok(permit)
     }
 
-    /// Waits until a server may be free or new; the most urgent call is woken
-    /// first.
-    pub async fn wait_for_capacity(&self, priority: u8) {
+    /// Waits until a server may be free or new, or `opens_at` has come; the most
+    /// urgent call is woken first.
+    pub async fn wait_for_capacity(
+        &self,
+        priority: u8,
+        opens_at: Option<Instant>,
+        clock: &DaemonClock,
+    ) {
         let (notify, notice) = async_channel::bounded(1);
         let key = {
             let mut queue = lock(&self.waiters.queue);
@@ -151,8 +162,18 @@
             waiters: &self.waiters,
             key,
         };
+        let opened = async {
+            if let Some(at) = opens_at {
+                clock.sleep_until(at).await;
+                self.waiters.wake_one();
+            }
+            std::future::pending::<()>().await;
+        };
         // The queue keeps the sender until it has sent.
-        let _ = notice.recv().await;
+        let woken = async {
+            let _ = notice.recv().await;
+        };
+        woken.or(opened).await;
         drop(waiter);
     }
 }
@@ -173,13 +194,28 @@
     if candidates.is_empty() {
         return Err(AcquireError::AllTried);
     }
+    let opens_at = candidates
+        .iter()
+        .filter_map(|(_, status)| status.closed_until)
+        .min();
+    let is_open = |status: &EndpointStatus| status.closed_until.is_none();
+    if let Some(at) = opens_at
+        && !candidates.iter().any(|(_, status)| is_open(status))
+    {
+        return Err(AcquireError::ClosedUntil(at));
+    }
+    let open: Vec<_> = candidates
+        .into_iter()
+        .filter(|(_, status)| is_open(status))
+        .collect();
     // Waiting for a healthy server is better than calling a stalled one.
-    let has_healthy = candidates.iter().any(|(_, status)| status.is_healthy);
-    let free = candidates
+    let has_healthy = open.iter().any(|(_, status)| status.is_healthy);
+    let free = open
         .into_iter()
         .filter(|(_, status)| status.is_free && (status.is_healthy || !has_healthy));
     let best = free.min_by(|(_, one), (_, other)| one.cost.total_cmp(&other.cost));
-    best.map(|(endpoint, _)| endpoint).ok_or(AcquireError::Busy)
+    best.map(|(endpoint, _)| endpoint)
+        .ok_or(AcquireError::Busy(opens_at))
 }
 
 /// Removes a waiting call from the queue when dropped.
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod hedge;
 mod notice_route;
 mod quarantine;
+mod rate_limit;
 mod records;
 mod replica;
 mod silence;
--- a/crates/standins/src/front/signed_server.rs
+++ b/crates/standins/src/front/signed_server.rs
@@ -73,6 +73,8 @@
     fault: ServerFault,
     service_time: Duration,
     records: Vec<[u8; 16]>,
+    /// Requests a second from all callers that the server's answers name.
+    rate_limit: Option<f64>,
     arrivals: Vec<ServerArrival>,
     /// Weak, so that a connection closes when its thread drops it.
     connections: Vec<Weak<TcpStream>>,
@@ -92,6 +94,7 @@
                 fault: ServerFault::None,
                 service_time: Duration::from_millis(2),
                 records,
+                rate_limit: None,
                 arrivals: Vec::new(),
                 connections: Vec::new(),
             }),
@@ -129,6 +132,11 @@
         self.lock().service_time = service_time;
     }
 
+    /// Names a limit in all answers from now on, or none.
+    pub fn set_rate_limit(&self, rate_limit: Option<f64>) {
+        self.lock().rate_limit = rate_limit;
+    }
+
     /// All requests received so far.
     pub fn arrivals(&self) -> Vec<ServerArrival> {
         self.lock().arrivals.clone()
@@ -189,13 +197,20 @@
 
     /// Handles a request; false if the connection ends.
     fn respond(&self, request: &HttpMessage, mut stream: &TcpStream) -> io::Result<bool> {
-        let (fault, service_time, body) = {
+        let (fault, service_time, body, rate_limit) = {
             let state = self.lock();
-            (state.fault, state.service_time, state.records.concat())
+            let body = state.records.concat();
+            (state.fault, state.service_time, body, state.rate_limit)
         };
+        let rate_limit = rate_limit.map(|rate| rate.to_string());
+        let signals = rate_limit
+            .iter()
+            .map(|rate| ("server-limit", rate.as_str()));
         if fault == ServerFault::Reject {
             self.record_arrival(request, false);
-            stream.write_all(&response_bytes(503, &[("not-executed", "1")], b""))?;
+            let mut headers = vec![("not-executed", "1")];
+            headers.extend(signals);
+            stream.write_all(&response_bytes(503, &headers, b""))?;
             return Ok(true);
         }
         self.record_arrival(request, true);
@@ -210,7 +225,8 @@
             self.name,
             self.next_signature.fetch_add(1, Ordering::Relaxed)
         );
-        let headers = [("request-id", id.as_str()), ("server-stamp", &signature)];
+        let mut headers = vec![("request-id", id.as_str()), ("server-stamp", &signature)];
+        headers.extend(signals);
         let full_answer = response_bytes(200, &headers, &body);
         let unframed_head =
             format!("HTTP/1.1 200 X\r\nrequest-id: {id}\r\nserver-stamp: {signature}\r\n\r\n");
--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod logs;
 mod peers;
+mod signals;
 mod store_faults;
 
 use camphorway_standins::front::testbed::FrontTestbed;
