Store: one odd entry hides no other, and a name is escaped in a query

Cause: a page of a list, or the changes of a watch, were decoded as a whole. An entry whose meta is not as expected (a name that is a number, a flag that is text) made the whole page unreadable, for each front and each time. A name with a character that a path may not hold ended the list as well, as it was put into the query unescaped.

Evidence: front::configuration::an_odd_registration_ends_no_front_and_hides_no_change failed on the code before (a front that lists such entries is never ready).

--- a/crates/standins/src/front/object_store.rs
+++ b/crates/standins/src/front/object_store.rs
@@ -2,6 +2,7 @@
 //! pages, watches from a revision, a history that can be discarded, and faults.
 
 use crate::front::http_message::{HttpMessage, response_bytes};
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
@@ -113,9 +114,18 @@
 
     /// Creates or replaces an object, as an operator or a server does.
     pub fn put(&self, kind: &str, name: &str, spec: &Value) {
+        self.put_named(kind, name, &json!(name), spec);
+    }
+
+    /// Creates or replaces an object whose name is sent as a number.
+    pub fn put_unnamed(&self, kind: &str, name: &str, spec: &Value) {
+        self.put_named(kind, name, &json!(7), spec);
+    }
+
+    fn put_named(&self, kind: &str, name: &str, sent_name: &Value, spec: &Value) {
         let mut state = self.lock();
         state.revision += 1;
-        let meta = json!({ "name": name, "revision": state.revision, "createdRev": 1,
+        let meta = json!({ "name": sent_name, "revision": state.revision, "createdRev": 1,
             "finalizers": [], "deletionRequested": false });
         let object = json!({ "meta": meta, "spec": spec, "status": null });
         let key = (kind.to_owned(), name.to_owned());
@@ -192,8 +202,9 @@
             return Ok(CallResult::Response(status, body));
         }
         let after = query.get("after").unwrap_or(&"");
+        let after = percent_decode_str(after).decode_utf8_lossy();
         let may_be_stale = query.get("staleOk") == Some(&"1");
-        let page = self.list(kind, after, may_be_stale);
+        let page = self.list(kind, &after, may_be_stale);
         Ok(CallResult::Response(200, page))
     }
 
--- a/tests/all/front/configuration.rs
+++ b/tests/all/front/configuration.rs
@@ -2,7 +2,8 @@
 //! replaced by an older one.
 
 use super::{new_id, testbed, wait_version};
-use camphorway_standins::front::testbed::{FrontTestbed, exchange, request_text};
+use camphorway_standins::front::signed_server::SignedServer;
+use camphorway_standins::front::testbed::{FrontTestbed, exchange, records, request_text};
 use serde_json::json;
 use std::time::{Duration, Instant};
 
@@ -102,6 +103,45 @@
     }
 }
 
+/// Another writer's odd entry among the servers ended the fronts that read it, or kept
+/// them from following the list.
+#[test]
+fn an_odd_registration_ends_no_front_and_hides_no_change() {
+    let mut testbed = testbed(1, 1);
+    let mut odd = json!({ "service": "service0", "address": "127.0.0.1:1", "zone": "a",
+        "slots": 2, "state": "ready", "seq": 1, "born": 1, "warmupLeftMs": 1e300 });
+    testbed.store.put("servers", "i-odd-1", &odd);
+    odd["warmupLeftMs"] = json!(1.8e22);
+    testbed.store.put("servers", "i-odd 2/\u{e9}?&", &odd);
+    odd["warmupLeftMs"] = json!(0);
+    odd["address"] = json!("127.0.0.1:99999");
+    testbed.store.put("servers", "i-odd-3", &odd);
+    testbed.store.put_unnamed("servers", "i-odd-4", &odd);
+    let version = testbed.configure(&testbed.routes());
+    wait_version(&testbed, 0, version);
+    testbed.add_front("b").expect("a front that lists them");
+    testbed.wait_ready().expect("it is ready");
+    let more = SignedServer::start("i-more", records(0)).expect("a server");
+    testbed.register(&more, "service0", "b", "ready");
+    for server in &testbed.servers[0] {
+        server.set_service_time(Duration::from_millis(60));
+    }
+    let began = Instant::now();
+    while more.arrivals().is_empty() {
+        assert!(
+            began.elapsed() < IN_FORCE_BOUND,
+            "the new server is not used"
+        );
+        for front in 0..2 {
+            let answer = testbed.send_request(front, "GET", "/s0/", &new_id());
+            assert_eq!(answer.expect("an answer").status(), 200);
+        }
+    }
+    for front in &mut testbed.fronts {
+        assert_eq!(front.process.wait(Duration::ZERO), None, "it still runs");
+    }
+}
+
 #[test]
 fn a_split_follows_its_weights() {
     let mut testbed = testbed(2, 1);
