--- a/crates/standins/src/front/signed_server.rs
+++ b/crates/standins/src/front/signed_server.rs
@@ -11,6 +11,10 @@
 /// A request whose target contains this text crashes each server that runs it.
 pub const POISON: &str = "poison";
 
+/// Bytes without end are sent for this time at most.
+const MAX_ENDLESS: Duration = Duration::from_secs(20);
+const ENDLESS_PAUSE: Duration = Duration::from_millis(1);
+
 /// The fault that a server injects.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ServerFault {
@@ -37,6 +41,19 @@
     UnframedReset,
     /// The answer has no signature.
     Unsigned,
+    /// The connection closes in the middle of the answer's head.
+    TruncateHead,
+    /// Header lines without end follow the status line.
+    EndlessHead,
+    /// Interim answers without end come in place of one.
+    EndlessInterim,
+    /// The answer has no length and its body does not end.
+    EndlessBody,
+    /// Bytes without end follow a complete answer.
+    EndlessExtra,
+    /// The answer names a time for which the idle connection stays open that no clock
+    /// can hold.
+    HugeIdleTimeout,
     /// The server terminates at the first request that it runs.
     Crash,
 }
@@ -262,6 +279,32 @@
                 let _ = stream.shutdown(Shutdown::Both);
                 return Ok(false);
             }
+            ServerFault::TruncateHead => {
+                let head = unframed_head.as_bytes();
+                stream.write_all(&head[..head.len() - 6])?;
+                return Ok(false);
+            }
+            ServerFault::EndlessHead => {
+                stream.write_all(b"HTTP/1.1 200 X\r\n")?;
+                return write_without_end(stream, b"x-more: 0123456789012345678901234567890\r\n");
+            }
+            ServerFault::EndlessInterim => {
+                return write_without_end(stream, b"HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            ServerFault::EndlessBody => {
+                stream.write_all(unframed_head.as_bytes())?;
+                // Slowly, so that many bodies grow at the same time.
+                return write_without_end_paced(stream, &[b'x'; 16_384], ENDLESS_PAUSE);
+            }
+            ServerFault::EndlessExtra => {
+                stream.write_all(&full_answer)?;
+                return write_without_end(stream, &[b'x'; 4_096]);
+            }
+            ServerFault::HugeIdleTimeout => {
+                let timeout = format!("timeout={}", u64::MAX);
+                headers.push(("keep-alive", &timeout));
+                stream.write_all(&response_bytes(200, &headers, &body))?;
+            }
             ServerFault::Unsigned => {
                 let unsigned_headers = [("request-id", id.as_str())];
                 stream.write_all(&response_bytes(200, &unsigned_headers, &body))?;
@@ -274,6 +317,25 @@
     }
 }
 
+/// Repeats `bytes` until the other side closes the connection, at most for
+/// [`MAX_ENDLESS`].
+fn write_without_end(stream: &TcpStream, bytes: &[u8]) -> io::Result<bool> {
+    write_without_end_paced(stream, bytes, Duration::ZERO)
+}
+
+fn write_without_end_paced(
+    mut stream: &TcpStream,
+    bytes: &[u8],
+    pause: Duration,
+) -> io::Result<bool> {
+    let began = Instant::now();
+    while began.elapsed() < MAX_ENDLESS {
+        stream.write_all(bytes)?;
+        thread::sleep(pause);
+    }
+    Ok(false)
+}
+
 /// Makes the connection send a reset when it is closed.
 fn reset_on_close(stream: &TcpStream) {
     // With a linger time of zero, closing sends a reset; errors are harmless.
--- a/tests/all/front/faults.rs
+++ b/tests/all/front/faults.rs
@@ -32,6 +32,33 @@
     }
 }
 
+/// Callers got an empty or short success, framed as whole, after a server had closed the
+/// connection in the middle of its answer's head.
+#[test]
+fn an_answer_that_ends_in_its_head_is_no_success() {
+    let testbed = testbed(1, 1);
+    for server in &testbed.servers[0] {
+        server.set_fault(ServerFault::TruncateHead);
+    }
+    for path in ["/s0/", "/once/", "/all/"] {
+        let answer = testbed.send_request(0, "GET", path, &new_id());
+        assert_eq!(answer.expect("an answer").status(), 502, "{path}");
+    }
+}
+
+#[test]
+fn an_idle_timeout_that_no_clock_can_hold_ends_no_front() {
+    let mut testbed = testbed(1, 1);
+    for server in &testbed.servers[0] {
+        server.set_fault(ServerFault::HugeIdleTimeout);
+    }
+    for _ in 0..10 {
+        let answer = testbed.send_request(0, "GET", "/s0/", &new_id());
+        assert_eq!(answer.expect("an answer").status(), 200);
+    }
+    assert_eq!(testbed.fronts[0].process.wait(Duration::ZERO), None);
+}
+
 #[test]
 fn an_answer_without_a_length_is_complete_if_the_connection_closes_cleanly() {
     let testbed = testbed(1, 1);
