Fronts limit what a server may send before, in and after an answer

Cause: interim answers without end were read until the call's timeout, which took the traffic thread's time from all other requests. An answer's body was limited to 8 MiB, all bodies together were not.

Evidence: front::faults::bytes_without_end_cost_neither_answers_nor_memory, on the code before: requests to sound servers got 504 beside 40 calls with endless interim answers; 440 MB of memory beside 80 calls with endless bodies of 12 servers (160 MB is the smallest VM). Endless heads were limited by the HTTP library before; bytes after an answer cost little, and are now refused at once.

Change: a connection has a read limit that is set to 128 KiB until the head is complete, to 8 MiB for the body and to none after it; the library's buffer is 32 KiB in place of 400 KiB. The memory of all answers being received is limited to 32 MiB; a call beyond it ends as if its answer were broken.

--- a/crates/daemon/src/http_client.rs
+++ b/crates/daemon/src/http_client.rs
@@ -1,18 +1,30 @@
 //! HTTP/1.1 connections to the platform or to a backend server.
 
+use crate::read_limit::{LimitedStream, ReadLimit};
 use crate::sync::lock;
 use crate::task::TaskSpawner;
 use async_net::TcpStream;
 use bytes::Bytes;
-use derive_more::Display;
+use derive_more::{Debug, Deref, DerefMut, Display};
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use smol_hyper::rt::FuturesIo;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
+/// Maximum size of an answer's head, and of one read.
+const MAX_BUFFER_BYTES: usize = 32 * 1_024;
+
 /// Sends requests on one connection.
-pub type RequestSender = SendRequest<Full<Bytes>>;
+#[derive(Debug, Deref, DerefMut)]
+pub struct RequestSender {
+    #[debug(skip)]
+    #[deref]
+    #[deref_mut]
+    sender: SendRequest<Full<Bytes>>,
+    /// How many more bytes the connection may receive; no limit at first.
+    pub read_limit: ReadLimit,
+}
 
 /// Why no connection was made.
 #[derive(Debug, Display)]
@@ -44,14 +56,18 @@
     })?;
     // Without TCP_NODELAY, small requests wait for the peer's delayed acknowledgement.
     let _ = stream.set_nodelay(true);
-    let (sender, connection) = handshake(FuturesIo::new(stream))
+    let read_limit = ReadLimit::default();
+    let stream = LimitedStream::new(stream, &read_limit);
+    let (sender, connection) = Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake(FuturesIo::new(stream))
         .await
         .map_err(|cause| ConnectError::Other(address, cause.to_string()))?;
     spawner.spawn(async move {
         // An error also fails the request that waits for a reply.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(RequestSender { sender, read_limit })
 }
 
 /// A pool of idle connections to one address.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metric_set;
 pub mod metrics;
 pub mod peer;
+pub mod read_limit;
 pub mod settings;
 pub mod store;
 pub mod sync;
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -1,5 +1,6 @@
 //! Starts a front, runs it, and shuts it down gracefully.
 
+use crate::answer_memory::AnswerMemory;
 use crate::control::{ControlContext, FrontControl};
 use crate::counted_source::CountedSource;
 use crate::crash_guard::CrashGuard;
@@ -177,6 +178,7 @@
                 clock: self.clock.clone(),
                 spawner: self.spawner.clone(),
                 stall_notices: Arc::clone(&self.stall_notices),
+                answer_memory: AnswerMemory::default(),
             },
             times: Arc::new(CallTimes::default()),
             guard: Arc::clone(&self.guard),
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`server_call`]s to servers chosen from [`service_endpoints`].
 
 pub mod answer;
+pub mod answer_memory;
 pub mod control;
 pub mod counted_source;
 pub mod crash_guard;
--- a/crates/front/src/server_call.rs
+++ b/crates/front/src/server_call.rs
@@ -2,13 +2,13 @@
 //! result for the request and the server.
 
 use crate::answer::ServerAnswer;
+use crate::answer_memory::{AnswerFault, AnswerMemory, MAX_ANSWER_BYTES};
 use crate::ports::{ReplyHead, RequestHead, RunStatus, ServerRequest, WireDialect};
 use crate::service_endpoints::CallPermit;
 use crate::stall_notices::StallNotices;
 use bytes::Bytes;
 use camphorway_daemon::clock::DaemonClock;
 use camphorway_daemon::http_client::{ConnectError, RequestSender, connect};
-use camphorway_daemon::http_port::{BodyError, read_body};
 use camphorway_daemon::task::TaskSpawner;
 use camphorway_policy::ReplicaOutcome;
 use futures_lite::FutureExt;
@@ -19,7 +19,9 @@
 use tokio_util::sync::CancellationToken;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-const MAX_ANSWER_BYTES: usize = 8 * 1_048_576;
+/// Maximum of bytes until an answer's head is complete, with interim answers and the
+/// start of its body.
+const MAX_HEAD_BYTES: usize = 128 * 1_024;
 /// After the caller disconnects, a call may still complete within this time,
 /// since aborting it costs a connection.
 const DISCONNECT_GRACE: Duration = Duration::from_millis(200);
@@ -54,6 +56,8 @@
     pub spawner: TaskSpawner,
     /// Notifies other fronts of stalled servers.
     pub stall_notices: Arc<StallNotices>,
+    /// Limits the memory of answers.
+    pub answer_memory: AnswerMemory,
 }
 
 /// The outcome of a call.
@@ -198,9 +202,14 @@
             time_left: spec.deadline.saturating_duration_since(now),
         };
         let request = self.wire.server_request(&request);
+        let read_limit = sender.read_limit.clone();
+        read_limit.set(MAX_HEAD_BYTES);
         let replied = async {
             match sender.try_send_request(request).await {
-                Ok(response) => self.read_reply(spec, permit, response).await,
+                Ok(response) => {
+                    read_limit.set(MAX_ANSWER_BYTES);
+                    self.read_reply(spec, permit, response).await
+                }
                 Err(mut error) => Err(match error.take_message() {
                     Some(_) => CallEnd::Unsent(UnsentCause::Closed),
                     None => CallEnd::Lost(LostCause::ConnectionLost),
@@ -222,6 +231,8 @@
         };
         match replied.or(timed_out).or(caller_disconnected).await {
             Ok((reply, answer)) => {
+                // No more bytes are due until the next request.
+                read_limit.set(0);
                 permit.endpoint().put_idle(sender, reply.idle_timeout);
                 let outcome = outcome_of(&reply, &answer);
                 (end_of(reply.run, answer), outcome)
@@ -251,13 +262,10 @@
         if is_mismatched || is_unsigned || reply.is_encoded {
             return Err(CallEnd::Lost(LostCause::Mismatched));
         }
-        let time_left = spec.deadline.saturating_duration_since(self.clock.now());
-        let body = read_body(body, MAX_ANSWER_BYTES, time_left).await;
-        let body = body.map_err(|error| {
-            CallEnd::Lost(match error {
-                BodyError::TooSlow => LostCause::Timeout,
-                BodyError::Incomplete | BodyError::TooLarge => LostCause::Malformed,
-            })
+        // A body that lasts too long ends with the call.
+        let body = self.answer_memory.receive(body).await;
+        let body = body.map_err(|fault| match fault {
+            AnswerFault::Incomplete | AnswerFault::TooLarge => CallEnd::Lost(LostCause::Malformed),
         })?;
         let answer = ServerAnswer {
             status: parts.status,
--- a/tests/all/front/faults.rs
+++ b/tests/all/front/faults.rs
@@ -3,11 +3,15 @@
 
 use super::{new_id, testbed};
 use camphorway_standins::front::signed_server::ServerFault;
-use camphorway_standins::front::testbed::{records, request_text};
+use camphorway_standins::front::testbed::{exchange, records, request_text};
 use std::io::Write;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+const FLOOD_REQUESTS: usize = 80;
+/// The memory of the smallest VMs that run fronts.
+const MAX_MEMORY_BYTES: u64 = 160_000_000;
+
 #[test]
 fn a_fault_of_one_server_is_retried_at_another() {
     let faults = [
@@ -59,6 +63,55 @@
     assert_eq!(testbed.fronts[0].process.wait(Duration::ZERO), None);
 }
 
+/// Bytes without end, in a head, a body or after an answer, held up requests or filled
+/// the memory of a front.
+#[test]
+fn bytes_without_end_cost_neither_answers_nor_memory() {
+    let faults = [
+        ServerFault::EndlessHead,
+        ServerFault::EndlessInterim,
+        ServerFault::EndlessBody,
+        ServerFault::EndlessExtra,
+    ];
+    for fault in faults {
+        let testbed = testbed(5, 1);
+        testbed.servers[0][0].set_fault(fault);
+        for server in testbed.servers[1..].iter().flatten() {
+            server.set_fault(fault);
+        }
+        let address = testbed.fronts[0].caller_address;
+        let send = |path: &'static str| {
+            std::thread::spawn(move || {
+                let text = request_text("GET", path, &new_id(), 900);
+                exchange(address, text.as_bytes()).map_or(0, |answer| answer.status())
+            })
+        };
+        let paths = ["/s1/", "/s2/", "/s3/", "/s4/"].into_iter().cycle();
+        let flood: Vec<_> = paths.take(FLOOD_REQUESTS).map(send).collect();
+        std::thread::sleep(Duration::from_millis(50));
+        let sound: Vec<_> = (0..10).map(|_| send("/s0/")).collect();
+        for request in sound {
+            assert_eq!(request.join().expect("a caller"), 200, "{fault:?}");
+        }
+        for request in flood {
+            let status = request.join().expect("a caller");
+            let may_succeed = fault == ServerFault::EndlessExtra;
+            assert!(status != 0 && (status != 200 || may_succeed), "{fault:?}");
+        }
+        let peak = peak_memory(testbed.fronts[0].process.id());
+        assert!(peak < MAX_MEMORY_BYTES, "{fault:?}: {peak} bytes");
+    }
+}
+
+/// The largest resident memory of a process so far, in bytes.
+fn peak_memory(id: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("a status");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"));
+    let words = line.and_then(|line| line.split_whitespace().nth(1));
+    let kilobytes: u64 = words.and_then(|word| word.parse().ok()).expect("a number");
+    kilobytes * 1_024
+}
+
 #[test]
 fn an_answer_without_a_length_is_complete_if_the_connection_closes_cleanly() {
     let testbed = testbed(1, 1);
