Fronts wake waiting requests once their new servers can be seen

Cause: waiting requests were woken when the endpoints of a service were rebuilt, before the view with them was published: a woken request looked at the old view, found nothing and waited again, and nothing woke it any more. A request also entered the queue only when its task first ran; a change between its look at the view and that was missed as well.

Change: the control thread wakes the queues after it has published the view; a request enters the queue at once, and looks again if the view has changed by then.

--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -300,6 +300,9 @@
             settles_at: self.directory.settles_at(),
             allowance: self.allowance(),
         });
+        for endpoints in self.services.values() {
+            endpoints.wake_all();
+        }
     }
 
     /// Builds the endpoints of a service; those of unchanged servers are kept,
--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -345,17 +345,20 @@
         opens_at: Option<Instant>,
     ) {
         self.progress[part].is_waiting = true;
-        let endpoints = Arc::clone(endpoints);
+        let waiter = endpoints.enqueue(self.request.route.priority);
         let sender = self.sender.clone();
+        // Whoever changes the servers wakes only calls that are in the queue by then.
+        if !self.is_current(part, endpoints) {
+            // The fan-out itself holds the receiver.
+            let _ = sender.try_send(FanOutEvent::Capacity { part });
+            return;
+        }
         let done = self.done.clone();
-        let priority = self.request.route.priority;
         let clock = self.context.client.clock.clone();
         self.context.client.spawner.spawn(async move {
             let capacity = async {
-                endpoints
-                    .wait_for_capacity(priority, opens_at, &clock)
-                    .or(clock.sleep_until(until))
-                    .await;
+                let waiting = waiter.wait(opens_at, &clock);
+                waiting.or(clock.sleep_until(until)).await;
                 // Fails only if the request has ended.
                 let _ = sender.try_send(FanOutEvent::Capacity { part });
             };
@@ -363,6 +366,13 @@
         });
     }
 
+    /// Whether `endpoints` are still those of the part's service.
+    fn is_current(&self, part: usize, endpoints: &Arc<ServiceEndpoints>) -> bool {
+        let view = self.context.view.load();
+        let current = view.services.get(&self.progress[part].service);
+        current.is_some_and(|current| Arc::ptr_eq(current, endpoints))
+    }
+
     fn send(&mut self, part: usize, purpose: CallPurpose, mut permit: CallPermit) {
         let route = &self.request.route;
         let endpoint = Arc::clone(permit.endpoint());
--- a/crates/front/src/service_endpoints.rs
+++ b/crates/front/src/service_endpoints.rs
@@ -3,6 +3,7 @@
 
 use crate::gauges::EndpointCounts;
 use crate::server_endpoint::{EndpointStatus, ServerEndpoint};
+use async_channel::Receiver;
 use camphorway_daemon::clock::DaemonClock;
 use camphorway_daemon::http_client::RequestSender;
 use camphorway_daemon::sync::lock;
@@ -66,21 +67,24 @@
 }
 
 impl ServiceEndpoints {
-    /// Builds the endpoints after a change; keeps the queue of waiting calls.
+    /// Builds the endpoints after a change; keeps the queue of waiting calls. Call
+    /// [`Self::wake_all`] once the endpoints are in the view.
     pub fn rebuild(
         before: Option<&Self>,
         ready: Vec<Arc<ServerEndpoint>>,
         missing: Vec<Arc<ServerEndpoint>>,
     ) -> Self {
         let waiters = before.map(|before| Arc::clone(&before.waiters));
-        let endpoints = Self {
+        Self {
             ready,
             missing,
             waiters: waiters.unwrap_or_default(),
-        };
-        // There may be a new server for waiting calls.
-        endpoints.waiters.wake_all();
-        endpoints
+        }
+    }
+
+    /// Wakes all waiting calls, as there may be a new server for them.
+    pub fn wake_all(&self) {
+        self.waiters.wake_all();
     }
 
     /// Iterates over all servers.
@@ -142,26 +146,25 @@
         Ok(permit)
     }
 
-    /// Waits until a server may be free or new, or `opens_at` has come; the most
-    /// urgent call is woken first.
-    pub async fn wait_for_capacity(
-        &self,
-        priority: u8,
-        opens_at: Option<Instant>,
-        clock: &DaemonClock,
-    ) {
+    /// Enters the queue of waiting calls.
+    pub fn enqueue(&self, priority: u8) -> QueuedWaiter {
         let (notify, notice) = async_channel::bounded(1);
-        let key = {
-            let mut queue = lock(&self.waiters.queue);
-            queue.next += 1;
-            let key = (priority, queue.next);
-            queue.by_priority.insert(key, notify);
-            key
-        };
-        let waiter = QueuedWaiter {
-            waiters: &self.waiters,
+        let mut queue = lock(&self.waiters.queue);
+        queue.next += 1;
+        let key = (priority, queue.next);
+        queue.by_priority.insert(key, notify);
+        QueuedWaiter {
+            waiters: Arc::clone(&self.waiters),
             key,
-        };
+            notice,
+        }
+    }
+}
+
+impl QueuedWaiter {
+    /// Waits until a server may be free or new, or `opens_at` has come; the most
+    /// urgent call is woken first.
+    pub async fn wait(self, opens_at: Option<Instant>, clock: &DaemonClock) {
         let opened = async {
             if let Some(at) = opens_at {
                 clock.sleep_until(at).await;
@@ -171,10 +174,9 @@
         };
         // The queue keeps the sender until it has sent.
         let woken = async {
-            let _ = notice.recv().await;
+            let _ = self.notice.recv().await;
         };
         woken.or(opened).await;
-        drop(waiter);
     }
 }
 
@@ -218,13 +220,15 @@
         .ok_or(AcquireError::Busy(opens_at))
 }
 
-/// Removes a waiting call from the queue when dropped.
-struct QueuedWaiter<'waiters> {
-    waiters: &'waiters SharedWaiters,
+/// A call in the queue, which leaves it when dropped.
+#[derive(Debug)]
+pub struct QueuedWaiter {
+    waiters: Arc<SharedWaiters>,
     key: (u8, u64),
+    notice: Receiver<()>,
 }
 
-impl Drop for QueuedWaiter<'_> {
+impl Drop for QueuedWaiter {
     fn drop(&mut self) {
         let mut queue = lock(&self.waiters.queue);
         if queue.by_priority.remove(&self.key).is_none() {
