--- a/tests/all/front.rs
+++ b/tests/all/front.rs
@@ -23,6 +23,18 @@
     FrontTestbed::start(binary, services, fronts).expect("a testbed")
 }
 
+/// A testbed with `fronts` fronts of one failure domain, each with a proxy of its own
+/// in front of the store.
+fn testbed_with_store_proxies(fronts: usize) -> FrontTestbed {
+    let mut testbed = testbed(1, 0);
+    for _ in 0..fronts {
+        let added = testbed.add_front_with_store_proxy("a");
+        added.expect("another front");
+    }
+    testbed.wait_ready().expect("all are ready");
+    testbed
+}
+
 fn new_id() -> String {
     format!("req{:013x}", NEXT_ID.fetch_add(1, Ordering::Relaxed))
 }
--- a/tests/all/front/crashing_content.rs
+++ b/tests/all/front/crashing_content.rs
@@ -1,7 +1,7 @@
 //! Content that crashes the servers that run it is kept from them at all fronts,
 //! whichever of them meet it, the store and each other.
 
-use super::{new_id, testbed};
+use super::{new_id, testbed, testbed_with_store_proxies};
 use camphorway_standins::front::signed_server::{POISON, SignedServer};
 use camphorway_standins::front::tcp_proxy::ProxyFault;
 use camphorway_standins::front::testbed::{
@@ -58,23 +58,10 @@
     assert_eq!(send(&testbed, 8, "/once/harmless"), 200);
 }
 
-/// Starts three fronts of one failure domain, each with a proxy of its own in front
-/// of the store.
-fn proxied_fronts() -> FrontTestbed {
-    let mut testbed = testbed(1, 0);
-    for _ in 0..3 {
-        testbed
-            .add_front_with_store_proxy("a")
-            .expect("another front");
-    }
-    testbed.wait_ready().expect("all are ready");
-    testbed
-}
-
 /// Sends crashing content to a front while another front, or the same one, can't
 /// reach the store, and then to all others.
 fn check_quarantine_with_cut_front(is_observer_cut: bool) {
-    let testbed = proxied_fronts();
+    let testbed = testbed_with_store_proxies(3);
     let more = add_servers(&testbed, 9);
     std::thread::sleep(DISCOVERY_TIME);
     let path = format!("/s0/{POISON}");
--- a/tests/all/front/peers.rs
+++ b/tests/all/front/peers.rs
@@ -1,6 +1,6 @@
 //! Messages between fronts: changes, quarantined content and membership.
 
-use super::{new_id, testbed, wait_version};
+use super::{new_id, testbed, testbed_with_store_proxies, wait_version};
 use camphorway_model::{FailureDomain, FrontRecord, PeerKey};
 use camphorway_policy::feed_order::first_in_domain;
 use camphorway_standins::fleet::wait_for;
@@ -103,13 +103,7 @@
 /// store, because both fronts that it asks first did not: their timeouts added up.
 #[test]
 fn a_change_is_in_force_though_both_fronts_asked_first_are_cut_off() {
-    let mut testbed = testbed(1, 0);
-    for _ in 0..3 {
-        testbed
-            .add_front_with_store_proxy("a")
-            .expect("another front");
-    }
-    testbed.wait_ready().expect("all are ready");
+    let mut testbed = testbed_with_store_proxies(3);
     std::thread::sleep(DISCOVERY_TIME);
     let [first, second, third] = feed_order(&testbed)[..] else {
         panic!("three fronts");
