--- a/crates/front/src/feed.rs
+++ b/crates/front/src/feed.rs
@@ -3,7 +3,7 @@
 //!
 //! An origin may be silent for longer than a change may take. So a front whose own
 //! items have become old queries further origins without waiting for the ones that
-//! it has asked (see [`fetch`]).
+//! it has asked.
 
 mod fetch;
 
