--- a/tests/all/front/signals.rs
+++ b/tests/all/front/signals.rs
@@ -105,6 +105,27 @@
     );
 }
 
+/// A request that no server takes in its time is not held until its deadline.
+#[test]
+fn a_request_that_no_server_takes_in_time_is_refused_at_once() {
+    let testbed = testbed(1, 1);
+    std::thread::sleep(DISCOVERY_TIME);
+    for server in &testbed.servers[0] {
+        server.set_rate_limit(Some(0.0));
+    }
+    for _ in 0..8 {
+        let answer = testbed.send_request(0, "GET", "/s0/", &new_id());
+        answer.expect("an answer");
+    }
+    let began = Instant::now();
+    let answer = testbed.send_request(0, "GET", "/s0/", &new_id());
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status(), 503, "{answer:?}");
+    assert!(began.elapsed() < Duration::from_millis(100));
+    let seconds: f64 = answer.header("retry-after").parse().expect("seconds");
+    assert!(seconds >= 1.0, "{seconds} s");
+}
+
 /// A limit ends with the first answer that does not name it.
 #[test]
 fn a_server_that_no_longer_names_a_limit_is_used_in_full() {
