A probing front's slot is found without rounding

Cause: the slot of a probing front was found by dividing floating-point seconds. At the first moment of a slot the quotient may be just below a whole number; the slot was then taken as the one before, and the time named to wait for was now. A front would have tried again and again until its clock moved on, some microseconds; the test's clock stands still.

Evidence: a_probing_daemon_may_call_from_the_first_moment_of_each_slot failed on the code before (slot 7 at 0.3 a second). Change: the division is of whole nanoseconds.

--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -154,7 +154,8 @@
         // A slot that was not used is lost, so that not all daemons save one up.
         let interval = self.share.interval();
         let late = now - self.next_at;
-        let missed = (late.as_secs_f64() / interval.as_secs_f64()) as u32;
+        // In whole nanoseconds: rounding would name a time that is not in the future.
+        let missed = (late.as_nanos() / interval.as_nanos()) as u32;
         let slot = self.next_at + interval * missed;
         (now >= slot + PROBING_SLOT).then(|| slot + interval)
     }
--- a/crates/policy/tests/all/rate_limit.rs
+++ b/crates/policy/tests/all/rate_limit.rs
@@ -119,6 +119,21 @@
     assert_eq!(pacer.wait_until(later), Some(now + Duration::from_secs(10)));
 }
 
+/// A slot that began just now was taken as the one before, and the call was to wait
+/// until now.
+#[test]
+fn a_probing_daemon_may_call_from_the_first_moment_of_each_slot() {
+    let now = Instant::now();
+    for rate in [0.3, 0.7, 1.1, 1.7, 2.3] {
+        let pacer = CallPacer::new(RateShare::Probing(rate), 0.0, now);
+        let interval = Duration::from_secs_f64(1.0 / rate);
+        for slot in 0..1_000 {
+            let at = now + interval * slot;
+            assert_eq!(pacer.wait_until(at), None, "slot {slot} at {rate}");
+        }
+    }
+}
+
 #[test]
 fn a_higher_limit_is_used_at_once() {
     let now = Instant::now();
