Connections: reads only when the reactor reports bytes, and a look before use

Cause: hyper tries to read whenever it polls a connection, and each try was a system call. A front made 6.0 recvfrom a server call, 5.0 of them without data (strace over 9,180 calls of 102 queries to 90 services), and zeroed an 8 KB buffer for each try.

Change: HttpStream reads once and then waits for the reactor's report; a buffer is zeroed only for a read. An idle connection is looked at (one peek) before a request is sent on it: closed, or with bytes that belong to no answer, it is not used. That also answers an operator's report, a second copy of an answer that arrives late on a connection in use again; the id in the answer stays the check for one that arrives later still.

Another report, connections just accepted that a planned stop cut: the queue of the listener was accepted after the stop, but a connection whose first bytes were still on their way was closed at once. It now has 100 ms.

--- a/crates/daemon/src/http_client.rs
+++ b/crates/daemon/src/http_client.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 connections to the platform or to a backend server.
 
-use crate::read_limit::{LimitedStream, ReadLimit};
+use crate::http_stream::{HttpStream, StreamProbe};
+use crate::read_limit::ReadLimit;
 use crate::sync::lock;
 use crate::task::TaskSpawner;
 use async_net::TcpStream;
@@ -8,7 +9,6 @@
 use derive_more::{Debug, Deref, DerefMut, Display};
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
-use smol_hyper::rt::FuturesIo;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 
@@ -24,6 +24,15 @@
     sender: SendRequest<Full<Bytes>>,
     /// How many more bytes the connection may receive; no limit at first.
     pub read_limit: ReadLimit,
+    probe: StreamProbe,
+}
+
+impl RequestSender {
+    /// Whether an idle connection can take a request: it is open, and no bytes have
+    /// arrived that belong to no answer.
+    pub fn can_take_request(&self) -> bool {
+        self.sender.is_ready() && self.probe.is_quiet()
+    }
 }
 
 /// Why no connection was made.
@@ -57,17 +66,22 @@
     // Without TCP_NODELAY, small requests wait for the peer's delayed acknowledgement.
     let _ = stream.set_nodelay(true);
     let read_limit = ReadLimit::default();
-    let stream = LimitedStream::new(stream, &read_limit);
+    let stream = HttpStream::new(stream, &read_limit);
+    let probe = stream.probe();
     let (sender, connection) = Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
-        .handshake(FuturesIo::new(stream))
+        .handshake(stream)
         .await
         .map_err(|cause| ConnectError::Other(address, cause.to_string()))?;
     spawner.spawn(async move {
         // An error also fails the request that waits for a reply.
         let _ = connection.await;
     });
-    Ok(RequestSender { sender, read_limit })
+    Ok(RequestSender {
+        sender,
+        read_limit,
+        probe,
+    })
 }
 
 /// A pool of idle connections to one address.
@@ -112,7 +126,7 @@
     fn take_idle(&self) -> Option<RequestSender> {
         let mut senders = lock(&self.senders);
         while let Some(sender) = senders.pop() {
-            if sender.is_ready() {
+            if sender.can_take_request() {
                 return Some(sender);
             }
         }
--- a/crates/daemon/src/http_port.rs
+++ b/crates/daemon/src/http_port.rs
@@ -7,6 +7,8 @@
 
 use crate::clock::DaemonClock;
 use crate::event;
+use crate::http_stream::HttpStream;
+use crate::read_limit::ReadLimit;
 use crate::settings::LimitSettings;
 use crate::task::TaskSpawner;
 use async_io::Timer;
@@ -18,7 +20,7 @@
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use smol_hyper::rt::{FuturesIo, SmolExecutor, SmolTimer};
+use smol_hyper::rt::{SmolExecutor, SmolTimer};
 use std::convert::Infallible;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
@@ -29,6 +31,8 @@
 const HTTP2_PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 const PEEK_INTERVAL: Duration = Duration::from_millis(5);
 const MAX_HTTP2_STREAMS: u32 = 256;
+/// Time for a new connection's first bytes once the port stops.
+const FIRST_BYTES_TIMEOUT: Duration = Duration::from_millis(100);
 /// Minimum that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8_192;
 
@@ -57,7 +61,8 @@
 }
 
 impl HttpPort {
-    /// Accepts connections until stopped.
+    /// Accepts connections until stopped. Those that wait in the listener's queue by
+    /// then are still served.
     pub async fn serve<Handler>(self, handler: Arc<Handler>)
     where
         Handler: HttpHandler,
@@ -71,6 +76,7 @@
                 None
             };
             let stream = match accepted.or(stopped).await {
+                // The queue is empty: `accepted` is polled first.
                 None => return,
                 Some(Ok((stream, _))) => stream,
                 Some(Err(cause)) => {
@@ -119,6 +125,8 @@
         let detected = async { self.clock.timeout(self.limits.read_timeout, detect).await };
         let stopped = async {
             self.stop.cancelled().await;
+            // The first request of a connection just accepted may be on its way.
+            self.clock.sleep(FIRST_BYTES_TIMEOUT).await;
             None
         };
         let Some(Some(http2)) = detected.or(stopped).await else {
@@ -128,7 +136,7 @@
             let handler = Arc::clone(&handler);
             async move { Ok::<_, Infallible>(handler.handle(request).await) }
         });
-        let io = FuturesIo::new(stream);
+        let io = HttpStream::new(stream, &ReadLimit::default());
         let max_head_bytes = self.limits.max_header_bytes.max(MIN_BUFFER_BYTES);
         if http2 {
             let executor = SmolExecutor::new(Arc::clone(self.spawner.executor()));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod holder;
 pub mod http_client;
 pub mod http_port;
+pub mod http_stream;
 pub mod log_sink;
 pub mod metric_set;
 pub mod metrics;
--- a/crates/daemon/src/read_limit.rs
+++ b/crates/daemon/src/read_limit.rs
@@ -3,13 +3,8 @@
 //! A faulty server may send bytes that belong to no answer, without end. Reading them
 //! until a timeout would take the processor time of other requests.
 
-use async_net::TcpStream;
-use futures_lite::io::{AsyncRead, AsyncWrite};
-use std::io;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::task::{Context, Poll};
 
 /// The number of bytes that a connection may still receive.
 #[derive(Clone, Debug)]
@@ -28,7 +23,7 @@
     }
 
     /// Takes `bytes` off the limit; false if they exceed it.
-    fn take(&self, bytes: usize) -> bool {
+    pub(crate) fn take(&self, bytes: usize) -> bool {
         let left = self.0.load(Ordering::Relaxed);
         let Some(after) = left.checked_sub(bytes) else {
             return false;
@@ -39,55 +34,3 @@
         true
     }
 }
-
-/// A connection that fails once it has received more than its limit.
-#[derive(Debug)]
-pub struct LimitedStream {
-    stream: TcpStream,
-    limit: ReadLimit,
-}
-
-impl LimitedStream {
-    /// Limits what is read from `stream`.
-    pub fn new(stream: TcpStream, limit: &ReadLimit) -> Self {
-        Self {
-            stream,
-            limit: limit.clone(),
-        }
-    }
-}
-
-impl AsyncRead for LimitedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if let Poll::Ready(Ok(bytes)) = read
-            && !self.limit.take(bytes)
-        {
-            let cause = "more bytes than an answer may have";
-            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, cause)));
-        }
-        read
-    }
-}
-
-impl AsyncWrite for LimitedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, buffer)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(context)
-    }
-}
--- a/crates/front/src/server_endpoint.rs
+++ b/crates/front/src/server_endpoint.rs
@@ -77,7 +77,7 @@
                 .until
                 .is_some_and(|until| now + IDLE_MARGIN >= until);
             let is_old = now.saturating_duration_since(connection.since) > max_idle;
-            if !is_ending && !is_old && connection.sender.is_ready() {
+            if !is_ending && !is_old && connection.sender.can_take_request() {
                 return Some(connection.sender);
             }
         }
