Fronts open a connection to their first choice of each service in advance

Cause: at hundreds of fronts each gets a wide query only every few seconds, and the first one opened 90 connections at once: handshakes, and the processor time of 90 connects on 0.12 of a core.

Change: policy::warm_up chooses the nearest server (among equals by a hash of the front) and leaves 4 in 10 of the server's connections to calls, counting the fronts of the region; ConnectionWarmer opens one at a time, up to three in a row while the server is never called, since servers close idle ones.

--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -1,6 +1,7 @@
 //! Starts a front, runs it, and shuts it down gracefully.
 
 use crate::answer_memory::AnswerMemory;
+use crate::connection_warmer::ConnectionWarmer;
 use crate::control::{ControlContext, FrontControl};
 use crate::counted_source::CountedSource;
 use crate::crash_guard::CrashGuard;
@@ -297,18 +298,19 @@
         let own = OwnFront {
             record: self.own.clone(),
             is_restart: settings.is_restart,
+        let endpoints = self.endpoint_settings();
+        let warmer = ConnectionWarmer {
+            view: Arc::clone(&self.view),
+            fronts: endpoints.fronts.clone(),
+            clock: self.clock.clone(),
+            spawner: self.spawner.clone(),
+            stop: self.stop_callers.clone(),
+        };
+        self.spawner.spawn(warmer.run());
         };
         let control = FrontControl::new(ControlContext {
             view: Arc::clone(&self.view),
-            endpoints: EndpointSettings {
-                domain: settings.domain.clone(),
-                fronts: SharingFronts {
-                    own: settings.vm.clone(),
-                    members: Arc::clone(&members),
-                    regions: Arc::new(settings.regions.clone()),
-                },
-                clock: self.clock.clone(),
-            },
+            endpoints,
             members,
             pinned: Arc::clone(&self.pinned),
             guard: Arc::clone(&self.guard),
@@ -346,6 +348,19 @@
     async fn run_until_signal(&self) {
         let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
             Ok(signals) => signals,
+    fn endpoint_settings(&self) -> EndpointSettings {
+        let settings = &self.settings;
+        EndpointSettings {
+            domain: settings.domain.clone(),
+            fronts: SharingFronts {
+                own: settings.vm.clone(),
+                members: Arc::clone(&self.members),
+                regions: Arc::new(settings.regions.clone()),
+            },
+            clock: self.clock.clone(),
+        }
+    }
+
             Err(cause) => {
                 event!(Error, "signals-not-handled", cause = cause);
                 std::future::pending().await
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod answer;
 pub mod answer_memory;
+pub mod connection_warmer;
 pub mod control;
 pub mod counted_source;
 pub mod crash_guard;
--- a/crates/front/src/server_endpoint.rs
+++ b/crates/front/src/server_endpoint.rs
@@ -22,6 +22,9 @@
 /// Connections to one server that may be opened at once: each may occupy one of
 /// the server's slots for a while.
 const MAX_CONNECTING: usize = 1;
+/// Connections opened in advance to a server that is not called: it closes them after
+/// its idle timeout.
+const MAX_WARM_UPS: u32 = 3;
 /// An idle connection is no longer used this long before the server closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(400);
 /// Costs are raised by a random fraction up to this, so that load spreads over
@@ -46,6 +49,8 @@
     fronts: SharingFronts,
     clock: DaemonClock,
     max_connections: AtomicUsize,
+    /// The server's limit for all callers together; 0 if unknown.
+    server_max_connections: AtomicUsize,
     state: Mutex<EndpointState>,
 }
 
@@ -56,6 +61,10 @@
     idle: Vec<IdleConnection>,
     /// Connections being opened.
     connecting: usize,
+    /// Connections opened in advance.
+    warm_ups: u32,
+    /// Whether the server has been called.
+    is_called: bool,
     /// Whether another server answered at the address.
     is_misdirected: bool,
     /// The limit that the server names, if any.
@@ -96,10 +105,13 @@
             fronts,
             clock: settings.clock.clone(),
             max_connections: AtomicUsize::new(MIN_CONNECTIONS),
+            server_max_connections: AtomicUsize::new(0),
             state: Mutex::new(EndpointState {
                 stats: ReplicaStats::new(distance, record.slots, record.warmup_left, now),
                 idle: Vec::new(),
                 connecting: 0,
+                warm_ups: 0,
+                is_called: false,
                 is_misdirected: false,
                 limit: None,
             }),
@@ -125,6 +137,30 @@
     pub fn set_server_max_connections(&self, limit: usize) {
         let part = (limit / CONNECTION_DIVISOR).max(MIN_CONNECTIONS);
         self.max_connections.store(part, Ordering::Relaxed);
+        self.server_max_connections.store(limit, Ordering::Relaxed);
+    }
+
+    /// The server's connection limit for all callers together, if known.
+    pub fn server_max_connections(&self) -> Option<usize> {
+        let limit = self.server_max_connections.load(Ordering::Relaxed);
+        (limit > 0).then_some(limit)
+    }
+
+    /// Whether a connection should be opened in advance: the server is healthy, was
+    /// never called, and has closed the last such connection, if any. Counts as an
+    /// attempt.
+    pub(crate) fn begin_warm_up(&self) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let is_due = !state.is_called
+            && state.warm_ups < MAX_WARM_UPS
+            && state.stats.is_healthy(now)
+            && state.idle.iter().all(|idle| idle.sender.is_closed());
+        if is_due {
+            state.idle.clear();
+            state.warm_ups += 1;
+        }
+        is_due
     }
 
     /// Records that another server answered at the address; no more calls go
@@ -225,6 +261,7 @@
     pub(crate) fn begin_call(&self, max_idle: Duration, now: Instant) -> Option<RequestSender> {
         let mut state = self.lock();
         state.stats.record_start(now);
+        state.is_called = true;
         if let Some(limit) = &mut state.limit {
             limit.record_call(now);
         }
--- a/crates/front/src/server_limit.rs
+++ b/crates/front/src/server_limit.rs
@@ -33,6 +33,18 @@
         }
     }
 
+    /// The number of fronts for which `server` is as near as for the nearest ones:
+    /// those of its region, or all if there are none.
+    pub fn count_sharing(&self, server: &ServerRecord) -> usize {
+        let members = lock(&self.members);
+        let is_far = |member: &&FrontRecord| {
+            self.distance(&member.domain, &server.domain) == ServerDistance::Far
+        };
+        let far = members.iter().filter(is_far).count();
+        let near = members.len() - far;
+        if near == 0 { members.len() } else { near }
+    }
+
     /// This front's part of the `limit` that `server` has named.
     fn share(&self, limit: f64, server: &ServerRecord) -> RateShare {
         let limited = LimitedServer {
--- a/crates/front/src/service_endpoints.rs
+++ b/crates/front/src/service_endpoints.rs
@@ -92,6 +92,11 @@
         self.ready.iter().chain(&self.missing)
     }
 
+    /// The servers whose registration is in force.
+    pub fn ready(&self) -> &[Arc<ServerEndpoint>] {
+        &self.ready
+    }
+
     /// Adds these servers and their calls to `counts`.
     pub fn add_to(&self, counts: &mut EndpointCounts, now: Instant) {
         counts.missing += self.missing.len();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -28,6 +28,8 @@
 pub mod split;
 pub mod stall;
 pub mod window_budget;
+pub mod stop_window;
+pub mod warm_up;
 
 pub use admission::{AdmissionDecision, AdmissionRequest, EntryAdmission, WaitReport};
 pub use budget::RatioBudget;
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -18,3 +18,5 @@
 mod split;
 mod stall;
 mod window_budget;
+mod stop_window;
+mod warm_up;
