Planned stops refuse what would outlast them; wide answers leave in time on a busy VM

Cause, as an operator reported: requests that came late in the grace period were passed on and cut at its end, also ones that may not be repeated. Change: policy::StopWindow accepts a request of a stopping front only if three times the longest recent one of its route, or its time limit where too few are known, fits into the rest of the period; others are refused at once with 503, Retry-After and Connection: close, truly not run. Requests that still run 0.2 s before the process exits are answered with what they have: the parts received, or a failure that promises nothing, in place of a cut.

Change: policy::AnswerLead follows, for each route, how late the planned time was noticed, and plans that much earlier. Answers that arrived together are handled before the fan-out decides again.

--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -25,10 +25,11 @@
     CallEnd, CallSpec, MAX_IDLE, NON_IDEMPOTENT_MAX_IDLE, NotRunCause, ServerClient, UnsentCause,
 };
 use crate::service_endpoints::{AcquireError, CallPermit, ServiceEndpoints};
+use crate::stop_state::StopState;
 use crate::view::SharedView;
 use async_channel::{Receiver, Sender};
 use camphorway_daemon::metrics::CallPurpose;
-use camphorway_model::{GatherRule, RequestRoute, ServiceName};
+use camphorway_model::{GatherRule, RequestRoute, RouteTarget, ServiceName};
 use camphorway_policy::{ContentHash, DispatchLedger, UnsentToken};
 use futures_lite::FutureExt;
 use std::sync::Arc;
@@ -46,6 +47,15 @@
 /// Timeout of a call to a shard, as a multiple of the objective.
 const SHARD_TIMEOUT_FACTOR: u32 = 4;
 
+/// The longest time that a request on `route` takes: a query over shards waits no
+/// longer than for its last calls.
+pub fn time_limit(route: &RequestRoute, time_limit: Duration) -> Duration {
+    match route.target {
+        RouteTarget::Gather(_) => time_limit.min(route.objective * SHARD_TIMEOUT_FACTOR),
+        RouteTarget::Service(_) | RouteTarget::Split(_) => time_limit,
+    }
+}
+
 /// State shared by fan-outs.
 #[derive(Debug)]
 pub struct FanOutContext<Wire> {
@@ -63,6 +73,8 @@
     pub budgets: Arc<CallBudgets>,
     /// The front's metrics.
     pub metrics: Arc<FrontMetrics>,
+    /// Whether and until when the front stops.
+    pub stop: Arc<StopState>,
     /// A query is answered this long before its objective, with the parts
     /// received.
     pub answer_margin: Duration,
@@ -105,6 +117,7 @@
     _done_guard: DropGuard,
     /// The time at which a query is answered with the parts received so far.
     answer_at: Instant,
+    has_answer_delay: bool,
     /// The latest time to send a hedge that can be answered by `answer_at`.
     hedge_deadline: Instant,
     deadline: Instant,
@@ -136,7 +149,7 @@
     Wire: WireDialect,
 {
     let mut fan_out = FanOut::new(context, &request, token.dispatch());
-    fan_out.drive().await;
+    fan_out.drive().or(context.stop.wait_answer_now()).await;
     let extra = fan_out.extra_calls;
     (fan_out.finish(), extra)
 }
@@ -167,7 +180,8 @@
         };
         let time_limit = deadline.saturating_duration_since(request.arrived_at);
         let time_limit = time_limit.saturating_sub(REPLY_MARGIN);
-        let objective = route.objective.saturating_sub(context.answer_margin);
+        let lead = context.times.answer_lead(route);
+        let objective = route.objective.saturating_sub(context.answer_margin + lead);
         let answer_after = objective.min(time_limit);
         let hedge_after = answer_after.saturating_sub(route.objective.mul_f64(HEDGE_FRACTION));
         Self {
@@ -181,6 +195,7 @@
             _done_guard: done.clone().drop_guard(),
             done,
             answer_at: request.arrived_at + answer_after,
+            has_answer_delay: false,
             hedge_deadline: request.arrived_at + hedge_after,
             deadline: request.arrived_at + time_limit,
             extra_calls: 0,
@@ -199,19 +214,41 @@
             self.start_all();
         }
         while !self.is_finished() {
-            match self.next_event().await {
-                FanOutEvent::Ended { part, call, end } => self.handle_end(part, call, end),
-                FanOutEvent::Capacity { part } => {
-                    self.progress[part].is_waiting = false;
-                    let purpose = self.progress[part].next_purpose();
-                    self.start(part, purpose);
-                }
-                FanOutEvent::Timer => self.send_due_hedges(),
+            let event = self.next_event().await;
+            self.handle_event(event);
+            // Answers arrive together; what follows from them is decided once.
+            while let Ok(event) = self.events.try_recv() {
+                self.handle_event(event);
             }
-            self.release_held();
+            self.record_answer_delay();
         }
     }
 
+    fn handle_event(&mut self, event: FanOutEvent) {
+        match event {
+            FanOutEvent::Ended { part, call, end } => self.handle_end(part, call, end),
+            FanOutEvent::Capacity { part } => {
+                self.progress[part].is_waiting = false;
+                let purpose = self.progress[part].next_purpose();
+                self.start(part, purpose);
+            }
+            FanOutEvent::Timer => self.send_due_hedges(),
+        }
+        self.release_held();
+    }
+
+    /// Records how long after the planned time the answer of a query is considered.
+    fn record_answer_delay(&mut self) {
+        let now = self.now();
+        if self.request.gather.is_none() || self.has_answer_delay || now < self.answer_at {
+            return;
+        }
+        self.has_answer_delay = true;
+        let delay = now.saturating_duration_since(self.answer_at);
+        let times = &self.context.times;
+        times.record_answer_delay(&self.request.route, delay);
+    }
+
     fn start_all(&mut self) {
         for part in 0..self.progress.len() {
             self.start(part, CallPurpose::First);
@@ -265,9 +302,6 @@
     }
 
     async fn next_event(&self) -> FanOutEvent {
-        if let Ok(event) = self.events.try_recv() {
-            return event;
-        }
         let received = async {
             match self.events.recv().await {
                 Ok(event) => event,
--- a/crates/front/src/fan_out/times.rs
+++ b/crates/front/src/fan_out/times.rs
@@ -1,8 +1,8 @@
-//! Recent latencies of calls, and when a call counts as late.
+//! Recent latencies of calls, when a call counts as late, and delays of answers.
 
 use camphorway_daemon::sync::lock;
 use camphorway_model::RequestRoute;
-use camphorway_policy::{LatencyWindow, ServerDistance};
+use camphorway_policy::{AnswerLead, LatencyWindow, ServerDistance};
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -19,10 +19,11 @@
 /// The largest fraction of the objective after which a call is late.
 const MAX_LATE_FRACTION: f64 = 0.45;
 
-/// Recent latencies of calls, by route and distance.
+/// Recent latencies of calls by route and distance, and delays of answers by route.
 #[derive(Debug, Default)]
 pub struct CallTimes {
     windows: Mutex<HashMap<ServerDistance, HashMap<String, LatencyWindow>>>,
+    answer_leads: Mutex<HashMap<String, AnswerLead>>,
 }
 
 impl CallTimes {
@@ -38,6 +39,27 @@
         }
     }
 
+    /// Records how long after the planned time an answer on `route` was considered.
+    pub fn record_answer_delay(&self, route: &RequestRoute, delay: Duration) {
+        let mut leads = lock(&self.answer_leads);
+        leads.entry(route.name.clone()).or_default().record(delay);
+    }
+
+    /// How much earlier a query on `route` is answered while this VM is busy.
+    pub fn answer_lead(&self, route: &RequestRoute) -> Duration {
+        let leads = lock(&self.answer_leads);
+        let lead = leads.get(&route.name).copied().unwrap_or_default();
+        lead.lead(route.objective)
+    }
+
+    /// The longest recent call on `route`, if there were enough.
+    pub fn longest(&self, route: &RequestRoute) -> Option<Duration> {
+        let windows = lock(&self.windows);
+        let of_route = windows.values().filter_map(|map| map.get(&route.name));
+        let measured = of_route.filter(|window| window.len() >= MIN_SAMPLES);
+        measured.filter_map(|window| window.quantile(1.0)).max()
+    }
+
     /// The time after which a call on `route` is late.
     pub fn late_after(&self, route: &RequestRoute, distance: ServerDistance) -> Duration {
         let windows = lock(&self.windows);
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -21,6 +21,7 @@
 use crate::server_limit::SharingFronts;
 use crate::settings::FrontSettings;
 use crate::stall_notices::{NoticeSender, PendingNotice, StallNotices};
+use crate::stop_state::StopState;
 use crate::view::SharedView;
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
@@ -39,7 +40,6 @@
 use camphorway_policy::{ContentHash, FeedOrder, NoticeRoute};
 use futures_lite::{FutureExt, StreamExt};
 use quinn::Connection;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -64,6 +64,9 @@
 const QUARANTINE_BOUND: Duration = Duration::from_secs(10);
 /// Time for the last answers to be written out.
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
+/// Requests that still run this long before the process exits are answered with what
+/// they have.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
 /// Timeout of a caller's idle connection, or of an incomplete request head.
 const READ_TIMEOUT: Duration = Duration::from_secs(60);
 
@@ -77,7 +80,7 @@
     metrics: Arc<FrontMetrics>,
     spawner: TaskSpawner,
     view: Arc<SharedView>,
-    is_stopping: Arc<AtomicBool>,
+    stop: Arc<StopState>,
     stop_callers: CancellationToken,
     stop_all: CancellationToken,
     own: FrontRecord,
@@ -136,7 +139,7 @@
         clock,
         metrics,
         spawner,
-        is_stopping: Arc::default(),
+        stop: Arc::default(),
         stop_callers: stop_all.child_token(),
         stop_all,
         own,
@@ -187,8 +190,9 @@
             budgets: Arc::clone(&self.budgets),
             metrics: Arc::clone(&self.metrics),
             answer_margin: self.settings.answer_margin,
+            stop: Arc::clone(&self.stop),
         });
-        let handler = RequestHandler::new(context, Arc::clone(&self.is_stopping));
+        let handler = RequestHandler::new(context);
         self.serve(listener, &self.stop_callers, handler);
     }
 
@@ -204,7 +208,7 @@
                 guard: Arc::clone(&self.guard),
                 clock: self.clock.clone(),
             },
-            is_stopping: Arc::clone(&self.is_stopping),
+            stop: Arc::clone(&self.stop),
         };
         self.serve(listener, &self.stop_all, port);
     }
@@ -294,10 +298,6 @@
         let fronts = follower(SourceFeed::Fronts, FRONTS_BOUND);
         let quarantine_feed = follower(SourceFeed::Quarantined, QUARANTINE_BOUND);
         let order = FeedOrder::new(&self.own, &settings.regions);
-        let (release_sender, to_release) = async_channel::unbounded();
-        let own = OwnFront {
-            record: self.own.clone(),
-            is_restart: settings.is_restart,
         let endpoints = self.endpoint_settings();
         let warmer = ConnectionWarmer {
             view: Arc::clone(&self.view),
@@ -307,6 +307,10 @@
             stop: self.stop_callers.clone(),
         };
         self.spawner.spawn(warmer.run());
+        let (release_sender, to_release) = async_channel::unbounded();
+        let own = OwnFront {
+            record: self.own.clone(),
+            is_restart: settings.is_restart,
         };
         let control = FrontControl::new(ControlContext {
             view: Arc::clone(&self.view),
@@ -344,10 +348,6 @@
             .map_err(StartError::Thread)
     }
 
-    /// Serves until a signal arrives, then drains and stops all tasks.
-    async fn run_until_signal(&self) {
-        let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
-            Ok(signals) => signals,
     fn endpoint_settings(&self) -> EndpointSettings {
         let settings = &self.settings;
         EndpointSettings {
@@ -361,6 +361,10 @@
         }
     }
 
+    /// Serves until a signal arrives, then drains and stops all tasks.
+    async fn run_until_signal(&self) {
+        let mut signals = match Signals::new([Signal::Term, Signal::Int, Signal::Hup]) {
+            Ok(signals) => signals,
             Err(cause) => {
                 event!(Error, "signals-not-handled", cause = cause);
                 std::future::pending().await
@@ -376,13 +380,17 @@
                 _ => break,
             }
         }
+        let exit_at = self.clock.now() + self.settings.grace.saturating_sub(GRACE_MARGIN);
+        let answer_by = exit_at.checked_sub(ANSWER_MARGIN).unwrap_or(exit_at);
+        self.stop.begin(answer_by);
         let drained = async {
             self.drain().await;
             "drained"
         };
         let limit = async {
-            let grace = self.settings.grace.saturating_sub(GRACE_MARGIN);
-            self.clock.sleep(grace).await;
+            self.clock.sleep_until(answer_by).await;
+            self.stop.answer_now();
+            self.clock.sleep_until(exit_at).await;
             "time limit"
         };
         let why = drained.or(limit).await;
@@ -399,7 +407,6 @@
     /// and the grace period nears its end, and then waits for running requests.
     async fn drain(&self) {
         event!(Info, "draining");
-        self.is_stopping.store(true, Ordering::Relaxed);
         let deregistered = membership::deregister(self.source.as_ref(), &self.own);
         // A store that does not answer must not delay the shutdown.
         self.clock.timeout(DEREGISTER_TIMEOUT, deregistered).await;
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -31,4 +31,5 @@
 pub mod service_endpoints;
 pub mod settings;
 pub mod stall_notices;
+pub mod stop_state;
 pub mod view;
--- a/crates/front/src/readiness_port.rs
+++ b/crates/front/src/readiness_port.rs
@@ -3,6 +3,7 @@
 use crate::gauges::FrontGauges;
 use crate::metrics::FrontMetrics;
 use crate::ports::WireDialect;
+use crate::stop_state::StopState;
 use crate::view::SharedView;
 use bytes::Bytes;
 use camphorway_daemon::http_port::{HttpHandler, json_response};
@@ -11,7 +12,6 @@
 use hyper::{Request, Response, StatusCode};
 use serde_json::json;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 /// The path of the metrics.
 const METRICS_PATH: &str = "/metrics";
@@ -28,7 +28,7 @@
     /// The gauges that are read when the metrics are scraped.
     pub gauges: FrontGauges,
     /// Whether the front is stopping.
-    pub is_stopping: Arc<AtomicBool>,
+    pub stop: Arc<StopState>,
 }
 
 impl<Wire> HttpHandler for ReadinessPort<Wire>
@@ -44,7 +44,7 @@
         if !self.wire.is_readiness_request(&head) {
             return json_response(StatusCode::NOT_FOUND, &json!({ "problem": "unknown path" }));
         }
-        let is_stopping = self.is_stopping.load(Ordering::Relaxed);
+        let is_stopping = self.stop.is_stopping();
         let is_ready = !is_stopping && self.view.load().is_ready();
         let status = if is_ready {
             StatusCode::OK
--- a/crates/front/src/request_handler.rs
+++ b/crates/front/src/request_handler.rs
@@ -10,14 +10,13 @@
 use camphorway_daemon::http_port::{BodyError, HttpHandler, read_body};
 use camphorway_daemon::sync::lock;
 use camphorway_model::{RefusalReason, RequestRoute, RouteTable, RouteTarget, ServiceName};
-use camphorway_policy::{ContentHash, ContentVerdict, UnsentToken, WeightedSplit};
+use camphorway_policy::{ContentHash, ContentVerdict, UnsentToken, WeightedSplit, WorkForecast};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response};
 use log::Level;
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use tokio_util::sync::CancellationToken;
@@ -25,6 +24,18 @@
 /// The time after which a caller may retry while there is no configuration yet.
 const START_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// The time after which a caller may retry at another front when this one stops.
+const STOP_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// A request that was read, and its times.
+#[derive(Debug)]
+struct TimedRequest {
+    head: RequestHead,
+    body: Bytes,
+    arrived_at: Instant,
+    time_limit: Duration,
+}
+
 /// A request's content as the quarantine classifies it.
 #[derive(Clone, Copy, Debug)]
 struct RequestContent {
@@ -37,20 +48,18 @@
 pub struct RequestHandler<Wire> {
     context: Arc<FanOutContext<Wire>>,
     splits: Mutex<HashMap<String, WeightedSplit>>,
-    is_stopping: Arc<AtomicBool>,
 }
 
 impl<Wire> RequestHandler<Wire>
 where
     Wire: WireDialect,
 {
-    /// Creates a handler; once `is_stopping` is set, its responses have
+    /// Creates a handler; once the front stops, its responses have
     /// `Connection: close`.
-    pub fn new(context: Arc<FanOutContext<Wire>>, is_stopping: Arc<AtomicBool>) -> Self {
+    pub fn new(context: Arc<FanOutContext<Wire>>) -> Self {
         Self {
             context,
             splits: Mutex::default(),
-            is_stopping,
         }
     }
 
@@ -96,6 +105,15 @@
                 return RoutedAnswer::Invalid(invalid_body(error));
             }
         };
+        let time_limit = head
+            .time_limit
+            .map_or(route.time_limit, |limit| limit.min(route.time_limit));
+        if !self.ends_before_stop(&route, time_limit) {
+            let token = UnsentToken::for_new_request();
+            event!(Info, "request-refused", request = id, reason = "stopping");
+            let proof = token.refuse(RefusalReason::Stopping);
+            return RoutedAnswer::Refused(RefusedAnswer::new(&proof, STOP_RETRY_AFTER));
+        }
         let content = content_of(&head, &body);
         let verdict = self.context.guard.verdict(content);
         if let ContentVerdict::Quarantined(remaining) = verdict {
@@ -108,7 +126,13 @@
             hash: content,
             is_suspect: verdict == ContentVerdict::SuspectAlone,
         };
-        let (answer, extra_calls) = self.fan_out(&route, head, body, content, arrived_at).await;
+        let request = TimedRequest {
+            head,
+            body,
+            arrived_at,
+            time_limit,
+        };
+        let (answer, extra_calls) = self.fan_out(&route, request, content).await;
         self.log(&id, &route, &routes, &answer, extra_calls, arrived_at);
         answer
     }
@@ -116,14 +140,10 @@
     async fn fan_out(
         &self,
         route: &Arc<RequestRoute>,
-        head: RequestHead,
-        body: Bytes,
+        request: TimedRequest,
         content: RequestContent,
-        arrived_at: Instant,
     ) -> (RoutedAnswer, usize) {
-        let time_limit = head
-            .time_limit
-            .map_or(route.time_limit, |limit| limit.min(route.time_limit));
+        let arrived_at = request.arrived_at;
         let disconnected = CancellationToken::new();
         // When the caller disconnects, this future is dropped, and the guard
         // cancels the token.
@@ -131,10 +151,10 @@
         let (services, gather) = self.choose_services(route);
         let request = FanOutRequest {
             spec: CallSpec {
-                head,
-                body,
+                head: request.head,
+                body: request.body,
                 idempotent: route.idempotent,
-                deadline: arrived_at + time_limit,
+                deadline: arrived_at + request.time_limit,
             },
             route: Arc::clone(route),
             services,
@@ -150,6 +170,18 @@
         answer
     }
 
+    /// Whether a request is expected to end before the front stops, if it does.
+    fn ends_before_stop(&self, route: &RequestRoute, time_limit: Duration) -> bool {
+        let Some(window) = self.context.stop.window() else {
+            return true;
+        };
+        let forecast = WorkForecast {
+            longest: self.context.times.longest(route),
+            time_limit: fan_out::time_limit(route, time_limit),
+        };
+        window.accepts(&forecast, self.context.client.clock.now())
+    }
+
     fn choose_services(
         &self,
         route: &RequestRoute,
@@ -231,7 +263,7 @@
         let running = RunningRequest(&self.context.metrics.running);
         let answer = self.answer(request).await;
         let mut response = self.context.client.wire.write_answer(&answer);
-        if self.is_stopping.load(Ordering::Relaxed) {
+        if self.context.stop.is_stopping() {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
         }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! second and replay any fault from its seed.
 
 pub mod admission;
+pub mod answer_lead;
 pub mod budget;
 pub mod claim;
 pub mod directory;
@@ -27,11 +28,12 @@
 pub mod snapshot_choice;
 pub mod split;
 pub mod stall;
-pub mod window_budget;
 pub mod stop_window;
 pub mod warm_up;
+pub mod window_budget;
 
 pub use admission::{AdmissionDecision, AdmissionRequest, EntryAdmission, WaitReport};
+pub use answer_lead::AnswerLead;
 pub use budget::RatioBudget;
 pub use claim::{ClaimDecision, ClaimEntry, ClaimObject, ClaimState, ClaimWindow};
 pub use directory::{DirectoryEntry, ServerDirectory};
@@ -51,4 +53,5 @@
 pub use silence::SilentPeers;
 pub use split::WeightedSplit;
 pub use stall::{ServerStall, StallChange};
+pub use stop_window::{StopWindow, WorkForecast};
 pub use window_budget::{AllowanceRamp, BudgetLimits, SharedAllowance, WindowBudget};
--- a/crates/policy/tests/all/main.rs
+++ b/crates/policy/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions, without I/O and with simulated time.
 
 mod admission;
+mod answer_lead;
 mod claim;
 mod directory;
 mod dispatch;
@@ -17,6 +18,6 @@
 mod silence;
 mod split;
 mod stall;
-mod window_budget;
 mod stop_window;
 mod warm_up;
+mod window_budget;
--- a/tests/all/front/departures.rs
+++ b/tests/all/front/departures.rs
@@ -1,15 +1,31 @@
 //! Servers that leave get no new work, and fronts that stop cut off no request.
 
-use super::{new_id, testbed};
+use super::{new_id, testbed, wait_version};
 use camphorway_standins::front::http_message::HttpMessage;
-use camphorway_standins::front::testbed::request_text;
+use camphorway_standins::front::testbed::{FrontTestbed, request_text};
 use rustix::process::Signal;
+use serde_json::json;
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// A server that leaves receives no new work after this time.
 const DRAIN_BOUND: Duration = Duration::from_secs(3);
+/// A front's answer to a request that it can't run is at once.
+const REFUSAL_BOUND: Duration = Duration::from_millis(300);
+/// The grace period of the testbed's fronts.
+const GRACE: Duration = Duration::from_secs(4);
+const SLOW_SERVICE: Duration = Duration::from_millis(1_600);
+
+/// Routes whose requests may take as long as their callers wait.
+fn allow_long_requests(testbed: &mut FrontTestbed) {
+    let mut routes = testbed.routes();
+    for route in &mut routes {
+        route["timeoutMs"] = json!(20_000);
+    }
+    let version = testbed.configure(&routes);
+    wait_version(testbed, 0, version);
+}
 
 #[test]
 fn a_draining_server_gets_no_new_work() {
@@ -26,10 +42,7 @@
     check_no_work_after_drain(&testbed, 0);
 }
 
-fn check_no_work_after_drain(
-    testbed: &camphorway_standins::front::testbed::FrontTestbed,
-    server: usize,
-) {
+fn check_no_work_after_drain(testbed: &FrontTestbed, server: usize) {
     let announced_at = Instant::now();
     while announced_at.elapsed() < DRAIN_BOUND + Duration::from_millis(500) {
         let answer = testbed
@@ -79,3 +92,61 @@
     let code = testbed.fronts[0].process.wait(Duration::from_secs(5));
     assert_eq!(code, Some(0), "it ends before it would be killed");
 }
+
+/// Reported by an operator: in a planned stop, requests that came late in the grace
+/// period were passed on, and cut at its end. The servers are slower than usual.
+#[test]
+fn a_stopping_front_refuses_requests_that_would_outlast_its_grace() {
+    let mut testbed = testbed(1, 1);
+    allow_long_requests(&mut testbed);
+    for server in &testbed.servers[0] {
+        server.set_service_time(SLOW_SERVICE);
+    }
+    let front = &testbed.fronts[0];
+    front.process.signal(Signal::TERM).expect("a signal");
+    std::thread::sleep(Duration::from_millis(2_100));
+    for (method, path) in [("POST", "/once/x"), ("GET", "/s0/")] {
+        let id = new_id();
+        let sent_at = Instant::now();
+        let answer = front.send_request(method, path, &id, 3_000);
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status(), 503, "{path}");
+        assert!(sent_at.elapsed() < REFUSAL_BOUND, "{:?}", sent_at.elapsed());
+        assert_eq!(answer.header("connection"), "close");
+        assert_ne!(answer.header("retry-after"), "");
+        assert_eq!(testbed.run_count(&id), 0, "refused as not run");
+    }
+    // What fits into the rest of the grace period is still served.
+    let short = front.send_request("GET", "/all/", &new_id(), 200);
+    assert_ne!(short.expect("an answer").status(), 503);
+}
+
+/// A request that its server doesn't end in time gets an answer that promises nothing,
+/// in place of a cut connection.
+#[test]
+fn a_request_that_runs_at_the_end_of_the_grace_is_answered() {
+    let mut testbed = testbed(1, 1);
+    allow_long_requests(&mut testbed);
+    for server in &testbed.servers[0] {
+        server.set_service_time(GRACE * 2);
+    }
+    let front = &testbed.fronts[0];
+    let answers: Vec<_> = std::thread::scope(|scope| {
+        let threads: Vec<_> = [("POST", "/once/x"), ("GET", "/s0/")]
+            .into_iter()
+            .map(|(method, path)| {
+                scope.spawn(move || front.send_request(method, path, &new_id(), 15_000))
+            })
+            .collect();
+        std::thread::sleep(Duration::from_millis(300));
+        front.process.signal(Signal::TERM).expect("a signal");
+        let joined = threads.into_iter().map(std::thread::ScopedJoinHandle::join);
+        joined.map(|answer| answer.expect("no panic")).collect()
+    });
+    for answer in answers {
+        let status = answer.expect("a complete answer").status();
+        assert!([502, 504].contains(&status), "{status}");
+    }
+    let code = testbed.fronts[0].process.wait(GRACE);
+    assert_eq!(code, Some(0), "it ends before it would be killed");
+}
--- a/tests/all/leaving.rs
+++ b/tests/all/leaving.rs
@@ -46,7 +46,10 @@
 
 /// The daemons' log lines about the leaving server, for a failure's message.
 fn log_of_leaving_server(fleet: &Fleet) -> String {
-    let processes = fleet.daemons.iter().filter_map(|daemon| daemon.process.as_ref());
+    let processes = fleet
+        .daemons
+        .iter()
+        .filter_map(|daemon| daemon.process.as_ref());
     let lines = processes.enumerate().flat_map(|(index, process)| {
         let log = process.log();
         let about = log.lines().filter(|line| line.contains(LEAVING_SERVER));
