A connection given back unused stays as old as it was

Cause: a call that was not sent (a hedge that the budget refuses) gave its connection back as just used and without the time at which the server closes it. A request that may not be repeated takes no connection idle for longer than 0.5 s, so that a server that is just closing it can't leave the outcome unknown; such a connection passed that check.

Change: the permit keeps the connection with its times.

--- a/crates/front/src/server_endpoint.rs
+++ b/crates/front/src/server_endpoint.rs
@@ -71,23 +71,32 @@
     limit: Option<ServerLimit>,
 }
 
-struct IdleConnection {
+/// A connection that no call uses.
+#[derive(Debug)]
+pub(crate) struct IdleConnection {
     sender: RequestSender,
     since: Instant,
     /// The time at which the server closes it, if the server announced that.
     until: Option<Instant>,
 }
 
+impl IdleConnection {
+    /// Takes the connection for a call.
+    pub(crate) fn into_sender(self) -> RequestSender {
+        self.sender
+    }
+}
+
 impl EndpointState {
     /// Takes a connection that has been idle for at most `max_idle`.
-    fn take_idle(&mut self, max_idle: Duration, now: Instant) -> Option<RequestSender> {
+    fn take_idle(&mut self, max_idle: Duration, now: Instant) -> Option<IdleConnection> {
         while let Some(connection) = self.idle.pop() {
             let is_ending = connection
                 .until
                 .is_some_and(|until| now + IDLE_MARGIN >= until);
             let is_old = now.saturating_duration_since(connection.since) > max_idle;
             if !is_ending && !is_old && connection.sender.can_take_request() {
-                return Some(connection.sender);
+                return Some(connection);
             }
         }
         None
@@ -246,19 +255,24 @@
         }
         let since = self.clock.now();
         let until = idle_timeout.map(|timeout| since + timeout);
+        self.put_back(IdleConnection {
+            sender,
+            since,
+            until,
+        });
+    }
+
+    /// Puts back a connection that the call did not use; it stays as old as it was.
+    pub(crate) fn put_back(&self, connection: IdleConnection) {
         let mut state = self.lock();
         if !state.is_misdirected {
-            state.idle.push(IdleConnection {
-                sender,
-                since,
-                until,
-            });
+            state.idle.push(connection);
         }
     }
 
     /// Counts a call as started, and takes a connection idle for at most
     /// `max_idle`.
-    pub(crate) fn begin_call(&self, max_idle: Duration, now: Instant) -> Option<RequestSender> {
+    pub(crate) fn begin_call(&self, max_idle: Duration, now: Instant) -> Option<IdleConnection> {
         let mut state = self.lock();
         state.stats.record_start(now);
         state.is_called = true;
--- a/crates/front/src/service_endpoints.rs
+++ b/crates/front/src/service_endpoints.rs
@@ -2,7 +2,7 @@
 //! calls that wait for a free server.
 
 use crate::gauges::EndpointCounts;
-use crate::server_endpoint::{EndpointStatus, ServerEndpoint};
+use crate::server_endpoint::{EndpointStatus, IdleConnection, ServerEndpoint};
 use async_channel::Receiver;
 use camphorway_daemon::clock::DaemonClock;
 use camphorway_daemon::http_client::RequestSender;
@@ -46,7 +46,7 @@
     late_at: Option<Instant>,
     outcome: ReplicaOutcome,
     #[debug(skip)]
-    connection: Option<RequestSender>,
+    connection: Option<IdleConnection>,
     /// Whether this call counts as opening a connection.
     is_connecting: bool,
     is_released: bool,
@@ -279,7 +279,7 @@
 
     /// Takes the idle connection that came with the permit.
     pub fn take_connection(&mut self) -> Option<RequestSender> {
-        self.connection.take()
+        self.connection.take().map(IdleConnection::into_sender)
     }
 
     /// Counts a connection as being opened for this call.
@@ -314,7 +314,7 @@
         }
         self.end_connecting();
         if let Some(unused) = self.connection.take() {
-            self.endpoint.put_idle(unused, None);
+            self.endpoint.put_back(unused);
         }
         let change = self.endpoint.end_call(self.outcome, self.started_at);
         self.waiters.wake_one();
