--- a/crates/daemon/tests/all/http_port.rs
+++ b/crates/daemon/tests/all/http_port.rs
@@ -14,6 +14,7 @@
 use hyper::{Request, Response};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
@@ -31,6 +32,12 @@
     }
 }
 
+fn join_all(threads: Vec<JoinHandle<()>>) {
+    for thread in threads {
+        thread.join().expect("no panic");
+    }
+}
+
 async fn read_to_end(stream: &mut TcpStream) -> String {
     let mut text = String::new();
     let read = async { stream.read_to_string(&mut text).await };
@@ -79,7 +86,7 @@
         answers
     });
     stop_threads.cancel();
-    threads.into_iter().for_each(|thread| drop(thread.join()));
+    join_all(threads);
     for answer in answers {
         assert!(answer.ends_with("answer"), "{answer:?}");
     }
@@ -115,5 +122,5 @@
         assert!(!sender.can_take_request(), "bytes belong to no request");
     });
     stop_threads.cancel();
-    threads.into_iter().for_each(|thread| drop(thread.join()));
+    join_all(threads);
 }
--- a/crates/front/tests/all/idle_connections.rs
+++ b/crates/front/tests/all/idle_connections.rs
@@ -14,6 +14,7 @@
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio_util::sync::CancellationToken;
 
@@ -45,6 +46,12 @@
     Arc::new(ServerEndpoint::new(&record, &settings))
 }
 
+fn join_all(threads: Vec<JoinHandle<()>>) {
+    for thread in threads {
+        thread.join().expect("no panic");
+    }
+}
+
 /// A hedge that the budget refuses gives its connection back. To a request that may not
 /// be repeated it is as old as before, and the server closes it as early.
 #[test]
@@ -70,10 +77,10 @@
         let give_back = || drop(endpoints.acquire(&[], LONG_IDLE, clock.now()));
         test_clock.advance(SHORT_IDLE * 2);
         give_back();
-        test_clock.advance(IDLE_TIMEOUT - SHORT_IDLE * 2);
+        test_clock.advance(IDLE_TIMEOUT.saturating_sub(SHORT_IDLE * 2));
         give_back();
         assert!(!has_connection(LONG_IDLE), "the server closes it now");
     });
     stop.cancel();
-    threads.into_iter().for_each(|thread| drop(thread.join()));
+    join_all(threads);
 }
--- a/crates/policy/tests/all/answer_lead.rs
+++ b/crates/policy/tests/all/answer_lead.rs
@@ -16,7 +16,8 @@
 fn late_answers(delays: &[u64], limit: Duration) -> usize {
     let mut lead = AnswerLead::default();
     let is_late = |delay: &&u64| {
-        let left_at = limit - lead.lead(OBJECTIVE) + millis(**delay);
+        let planned_at = limit.saturating_sub(lead.lead(OBJECTIVE));
+        let left_at = planned_at + millis(**delay);
         lead.record(millis(**delay));
         left_at > limit + millis(5)
     };
@@ -41,7 +42,9 @@
     #[test]
     fn a_lead_never_takes_most_of_the_objective(delays in prop::collection::vec(0_u64..10_000, 0..50)) {
         let mut lead = AnswerLead::default();
-        delays.iter().for_each(|delay| lead.record(millis(*delay)));
+        for delay in delays {
+            lead.record(millis(delay));
+        }
         prop_assert!(lead.lead(OBJECTIVE) <= OBJECTIVE / 4);
     }
 }
