--- a/crates/front/src/fan_out.rs
+++ b/crates/front/src/fan_out.rs
@@ -216,10 +216,6 @@
         while !self.is_finished() {
             let event = self.next_event().await;
             self.handle_event(event);
-            // Answers arrive together; what follows from them is decided once.
-            while let Ok(event) = self.events.try_recv() {
-                self.handle_event(event);
-            }
             self.record_answer_delay();
         }
     }
@@ -302,6 +298,9 @@
     }
 
     async fn next_event(&self) -> FanOutEvent {
+        if let Ok(event) = self.events.try_recv() {
+            return event;
+        }
         let received = async {
             match self.events.recv().await {
                 Ok(event) => event,
