--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod http_client;
 pub mod http_port;
 pub mod http_stream;
+pub mod json_entry;
 pub mod log_sink;
 pub mod metric_set;
 pub mod metrics;
--- a/crates/daemon/src/store/client.rs
+++ b/crates/daemon/src/store/client.rs
@@ -4,14 +4,17 @@
 //! configuration leaves a fraction for claims, and status a fraction for both.
 
 use crate::clock::DaemonClock;
+use crate::event;
 use crate::http_client::IdleConnections;
 use crate::http_port::read_body;
+use crate::json_entry::{RawEntry, read_document};
 use crate::metrics::DaemonMetrics;
 use crate::settings::StoreSettings;
 pub use crate::store::object::{
     ListedObject, ListedVm, StoreError, StorePurpose, StoredObject, VmKind, VmList, VmState,
     WatchReply, WriteResult,
 };
+use crate::store::object::{VmDocument, WatchDocument};
 use crate::sync::lock;
 use crate::task::TaskSpawner;
 use bytes::Bytes;
@@ -119,8 +122,9 @@
             .await?;
         match (reply.status, reply.version) {
             (StatusCode::OK, Some(version)) => {
-                let text = String::from_utf8(reply.body.to_vec())
-                    .map_err(|cause| failed("get", key, cause.to_string()))?;
+                // Readers check the text themselves, so that one object with bytes that
+                // are no text keeps none of the others from being read.
+                let text = String::from_utf8_lossy(&reply.body).into_owned();
                 Ok(Some(StoredObject { version, text }))
             }
             (StatusCode::NOT_FOUND, _) => Ok(None),
@@ -186,13 +190,9 @@
         prefix: &str,
         purpose: StorePurpose,
     ) -> Result<Vec<ListedObject>, StoreError> {
-        self.read_json(
-            "list",
-            &format!("/objects?prefix={prefix}"),
-            purpose,
-            CALL_TIMEOUT,
-        )
-        .await
+        let path = format!("/objects?prefix={prefix}");
+        let objects = self.read_json("list", &path, purpose, CALL_TIMEOUT).await?;
+        Ok(readable(objects, &path))
     }
 
     /// Waits for a change after `revision` to an object under `prefix`.
@@ -201,8 +201,14 @@
     /// Returns an error if the store did not answer.
     pub async fn watch(&self, prefix: &str, revision: u64) -> Result<WatchReply, StoreError> {
         let path = format!("/watch?prefix={prefix}&after={revision}");
-        self.read_json("watch", &path, StorePurpose::Configuration, WATCH_TIMEOUT)
-            .await
+        let purpose = StorePurpose::Configuration;
+        let reply: WatchDocument = self
+            .read_json("watch", &path, purpose, WATCH_TIMEOUT)
+            .await?;
+        Ok(WatchReply {
+            revision: reply.revision,
+            changes: readable(reply.changes, &path),
+        })
     }
 
     /// Reads the VM list.
@@ -210,8 +216,14 @@
     /// # Errors
     /// Returns an error if the platform did not answer.
     pub async fn vms(&self) -> Result<VmList, StoreError> {
-        self.read_json("vms", "/vms", StorePurpose::Status, CALL_TIMEOUT)
-            .await
+        let path = "/vms";
+        let list: VmDocument = self
+            .read_json("vms", path, StorePurpose::Status, CALL_TIMEOUT)
+            .await?;
+        Ok(VmList {
+            revision: list.revision,
+            vms: readable(list.vms, path),
+        })
     }
 
     async fn read_json<Value>(
@@ -229,7 +241,7 @@
         if reply.status != StatusCode::OK {
             return Err(failed(step, path, format!("status {}", reply.status)));
         }
-        serde_json::from_slice(&reply.body).map_err(|cause| failed(step, path, cause.to_string()))
+        read_document(&reply.body).map_err(|cause| failed(step, path, cause.to_string()))
     }
 
     fn request(
@@ -322,6 +334,21 @@
     }
 }
 
+/// The entries that can be read; the others are logged.
+fn readable<Entry>(entries: Vec<RawEntry<Entry>>, path: &str) -> Vec<Entry>
+where
+    Entry: DeserializeOwned,
+{
+    let read = |entry: &RawEntry<Entry>| match entry.read() {
+        Ok(entry) => Some(entry),
+        Err(cause) => {
+            event!(Warn, "object-unreadable", path = path, cause = cause);
+            None
+        }
+    };
+    entries.iter().filter_map(read).collect()
+}
+
 fn failed(step: &'static str, key: &str, cause: String) -> StoreError {
     StoreError {
         step,
--- a/crates/daemon/src/store/object.rs
+++ b/crates/daemon/src/store/object.rs
@@ -1,5 +1,6 @@
 //! Types of the platform's object API.
 
+use crate::json_entry::RawEntry;
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 
@@ -78,6 +79,13 @@
     pub changes: Vec<ListedObject>,
 }
 
+/// A [`WatchReply`] as sent.
+#[derive(Debug, Deserialize)]
+pub(super) struct WatchDocument {
+    pub(super) revision: u64,
+    pub(super) changes: Vec<RawEntry<ListedObject>>,
+}
+
 /// The state of a VM.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -119,3 +127,10 @@
     /// The VMs.
     pub vms: Vec<ListedVm>,
 }
+
+/// A [`VmList`] as sent.
+#[derive(Debug, Deserialize)]
+pub(super) struct VmDocument {
+    pub(super) revision: u64,
+    pub(super) vms: Vec<RawEntry<ListedVm>>,
+}
--- a/crates/daemon/tests/all/main.rs
+++ b/crates/daemon/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the daemon's parts without processes.
 
 mod http_port;
+mod json_entry;
 mod links;
--- a/crates/standins/src/front/object_store.rs
+++ b/crates/standins/src/front/object_store.rs
@@ -12,6 +12,9 @@
 use std::time::{Duration, Instant};
 
 const PAGE_SIZE: usize = 7;
+/// Stands in a value for bytes that are not UTF-8.
+pub const NOT_TEXT: char = '\u{f8ff}';
+const NOT_TEXT_BYTES: &[u8] = b"\xff\xfe";
 const MAX_WAIT: Duration = Duration::from_secs(30);
 
 /// The fault that the store injects.
@@ -177,7 +180,7 @@
             let CallResult::Response(status, body) = self.answer(&request)? else {
                 return Ok(());
             };
-            let bytes = response_bytes(status, &[], body.to_string().as_bytes());
+            let bytes = response_bytes(status, &[], &body_bytes(&body));
             stream.write_all(&bytes)?;
         }
         Ok(())
@@ -309,3 +312,10 @@
         }
     }
 }
+
+/// Writes a body, with bytes that are not UTF-8 for each [`NOT_TEXT`].
+fn body_bytes(body: &Value) -> Vec<u8> {
+    let text = body.to_string();
+    let parts: Vec<&[u8]> = text.split(NOT_TEXT).map(str::as_bytes).collect();
+    parts.join(NOT_TEXT_BYTES)
+}
--- a/tests/all/front/configuration.rs
+++ b/tests/all/front/configuration.rs
@@ -2,6 +2,7 @@
 //! replaced by an older one.
 
 use super::{new_id, testbed, wait_version};
+use camphorway_standins::front::object_store::NOT_TEXT;
 use camphorway_standins::front::signed_server::SignedServer;
 use camphorway_standins::front::testbed::{FrontTestbed, exchange, records, request_text};
 use serde_json::json;
@@ -142,6 +143,42 @@
     }
 }
 
+/// Bytes that are not UTF-8 in one entry kept every front that started from becoming
+/// ready, and hid all later changes from the others.
+#[test]
+fn bytes_that_are_no_text_keep_no_front_from_starting_or_following() {
+    let mut testbed = testbed(1, 1);
+    let odd = json!({ "service": format!("{NOT_TEXT}"), "address": "127.0.0.1:1", "zone": "a",
+        "slots": 2, "state": "ready", "seq": 1, "born": 1, "warmupLeftMs": 0 });
+    testbed.store.put("servers", "i-odd", &odd);
+    // Enough for several pages, one of which ends with a name that can't be read.
+    for index in 0..8 {
+        let name = format!("i-odd-{index}{NOT_TEXT}");
+        testbed.store.put("servers", &name, &odd);
+    }
+    let replaced = &testbed.servers[0][0];
+    testbed.store.put("servers", &replaced.name, &odd);
+    let version = testbed.configure(&testbed.routes());
+    wait_version(&testbed, 0, version);
+    testbed.add_front("b").expect("a front that lists them");
+    testbed.wait_ready().expect("it is ready");
+    let more = SignedServer::start("i-more", records(0)).expect("a server");
+    testbed.register(&more, "service0", "b", "ready");
+    std::thread::sleep(IN_FORCE_BOUND);
+    let before = testbed.servers[0][0].arrivals().len();
+    for server in &testbed.servers[0][1..] {
+        server.terminate();
+    }
+    for front in 0..2 {
+        let answer = testbed.send_request(front, "GET", "/s0/", &new_id());
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status(), 200, "{answer:?}");
+        assert!(answer.header("server-stamp").starts_with("i-more."));
+    }
+    let after = testbed.servers[0][0].arrivals().len();
+    assert_eq!(before, after, "an entry that can't be read names no server");
+}
+
 #[test]
 fn a_split_follows_its_weights() {
     let mut testbed = testbed(2, 1);
