--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -12,8 +12,9 @@
                            traffic-threads, log-level, seeds";
 const STORE_KEYS: &str = "address, token-file, calls-per-second";
 const TLS_KEYS: &str = "ca-file, certificate-file, key-file";
-const LIMIT_KEYS: &str = "body-bytes, header-bytes, read-timeout-ms, connections, requests, \
-                          balancer-lag-ms, drain-ms";
+const LIMIT_KEYS: &str = "body-bytes, header-bytes, connections, requests, \
+                          read-timeout-ms or read-timeout-s, balancer-lag-ms or \
+                          balancer-lag-s, drain-ms or drain-s";
 
 /// All settings of one daemon.
 #[derive(Clone, Debug)]
@@ -207,7 +208,7 @@
     let peer_address = section.required("peer-address", address, faults);
     let advertised_address = section.optional("advertised-address", address, faults);
     let admin_address = section.required("admin-address", address, faults);
-    let threads = section.number_within("traffic-threads", 1.0..=64.0, faults);
+    let threads = section.count_within("traffic-threads", 1..=64, faults);
     let levels = "off, error, warn, info, debug, trace";
     let log_level = section.optional("log-level", levels, faults);
     let seeds: Option<String> = section.optional("seeds", address, faults);
@@ -275,24 +276,24 @@
 
 fn read_limits(mut section: IniSection, limits: &mut LimitSettings, faults: &mut Vec<IniFault>) {
     let counts = [
-        ("body-bytes", &mut limits.max_body_bytes, 67_108_864.0),
-        ("header-bytes", &mut limits.max_header_bytes, 1_048_576.0),
-        ("connections", &mut limits.max_connections, 1_000_000.0),
-        ("requests", &mut limits.max_requests, 1_000_000.0),
+        ("body-bytes", &mut limits.max_body_bytes, 67_108_864),
+        ("header-bytes", &mut limits.max_header_bytes, 1_048_576),
+        ("connections", &mut limits.max_connections, 1_000_000),
+        ("requests", &mut limits.max_requests, 1_000_000),
     ];
     for (key, target, max) in counts {
-        if let Some(count) = section.number_within(key, 1.0..=max, faults) {
+        if let Some(count) = section.count_within(key, 1..=max, faults) {
             *target = count as usize;
         }
     }
     let times = [
-        ("read-timeout-ms", &mut limits.read_timeout),
-        ("balancer-lag-ms", &mut limits.balancer_lag),
-        ("drain-ms", &mut limits.drain_timeout),
+        ("read-timeout", &mut limits.read_timeout),
+        ("balancer-lag", &mut limits.balancer_lag),
+        ("drain", &mut limits.drain_timeout),
     ];
-    for (key, target) in times {
-        if let Some(time) = section.number_within(key, 0.0..=3_600_000.0, faults) {
-            *target = Duration::from_millis(time as u64);
+    for (name, target) in times {
+        if let Some(time) = section.duration_within(name, ini::TIMES, faults) {
+            *target = time;
         }
     }
     section.finish(LIMIT_KEYS, faults);
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -162,7 +162,8 @@
         vm = core.settings.vm,
         domain = core.settings.domain,
         callers = core.settings.callers,
-        store = core.settings.store
+        store = core.settings.store,
+        grace_ms = core.settings.grace.as_millis()
     );
     block_on(core.run_until_signal());
     join_all(control, threads);
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -11,12 +11,12 @@
 use std::path::Path;
 use std::time::Duration;
 
-const FRONT_KEYS: &str =
-    "vm, failure-domain, callers, readiness, peers, log-level, answer-margin-ms";
+const FRONT_KEYS: &str = "vm, failure-domain, callers, readiness, peers, log-level, \
+                          answer-margin-ms or answer-margin-s";
 const STORE_KEYS: &str = "address";
-const BOUND_KEYS: &str = "in-force-ms, leave-ms";
-const STOP_KEYS: &str = "grace-ms";
-const BUDGET_KEYS: &str = "ratio, window-ms, allowance, shared-allowance, restart";
+const BOUND_KEYS: &str = "in-force-ms or in-force-s, leave-ms or leave-s";
+const STOP_KEYS: &str = "grace-ms or grace-s";
+const BUDGET_KEYS: &str = "ratio, window-ms or window-s, allowance, shared-allowance, restart";
 const SECTIONS: &str = "front, store, bounds, stop, budget, regions";
 
 const DEFAULT_BOUND: Duration = Duration::from_secs(3);
@@ -89,13 +89,14 @@
                 ("front", "") => front = read_front(section, &mut faults),
                 ("store", "") => store = read_store(section, &mut faults),
                 ("stop", "") => {
-                    grace = milliseconds(&mut section, "grace-ms", &mut faults).unwrap_or(grace);
+                    let time = section.duration_within("grace", ini::TIMES, &mut faults);
+                    grace = time.unwrap_or(grace);
                     section.finish(STOP_KEYS, &mut faults);
                 }
                 ("bounds", "") => {
-                    let mut bound = |key| milliseconds(&mut section, key, &mut faults);
-                    in_force_bound = bound("in-force-ms").unwrap_or(in_force_bound);
-                    leave_bound = bound("leave-ms").unwrap_or(leave_bound);
+                    let mut bound = |name| section.duration_within(name, ini::TIMES, &mut faults);
+                    in_force_bound = bound("in-force").unwrap_or(in_force_bound);
+                    leave_bound = bound("leave").unwrap_or(leave_bound);
                     section.finish(BOUND_KEYS, &mut faults);
                 }
                 ("budget", "") => {
@@ -152,7 +153,7 @@
     let levels = "off, error, warn, info, debug, trace";
     let peers = section.required("peers", address, faults);
     let log_level = section.optional("log-level", levels, faults);
-    let margin = milliseconds(&mut section, "answer-margin-ms", faults);
+    let margin = section.duration_within("answer-margin", ini::TIMES, faults);
     section.finish(FRONT_KEYS, faults);
     Some(FrontSettings {
         vm: VmName::new(&vm?),
@@ -187,18 +188,9 @@
     if let Some(allowance) = section.number_within("allowance", 0.0..=1_000.0, faults) {
         limits.allowance = allowance;
     }
-    if let Some(window) = milliseconds(&mut section, "window-ms", faults) {
+    if let Some(window) = section.duration_within("window", ini::TIMES, faults) {
         limits.window = window;
     }
     section.finish(BUDGET_KEYS, faults);
     limits
 }
-
-fn milliseconds(
-    section: &mut IniSection,
-    key: &str,
-    faults: &mut Vec<IniFault>,
-) -> Option<Duration> {
-    let number = section.number_within(key, 0.0..=3_600_000.0, faults)?;
-    Some(Duration::from_millis(number as u64))
-}
--- a/crates/front/tests/all/settings.rs
+++ b/crates/front/tests/all/settings.rs
@@ -31,7 +31,7 @@
     f.ini:4: [front] callers: `here` is not allowed; allowed: an IP address and port
     f.ini:11: [halt] -: unknown section; allowed: front, store, bounds, stop, budget, regions
     f.ini:14: [budget] ratio: `much` is not allowed; allowed: a number from 0 to 10
-    f.ini:15: [budget] foo: unknown key; allowed: ratio, window-ms, allowance, shared-allowance, restart
+    f.ini:15: [budget] foo: unknown key; allowed: ratio, window-ms or window-s, allowance, shared-allowance, restart
     ");
 }
 
@@ -44,3 +44,42 @@
         faults[0]
     );
 }
+
+/// A grace of 6.5 s was rendered as `6.5000` milliseconds, so each planned stop cut the
+/// requests that were running.
+#[test]
+fn bounds_with_a_fraction_are_rendered_as_they_are() {
+    let fields = [
+        ("node", "front-1"),
+        ("zone", "a"),
+        ("ip", "127.0.0.1"),
+        ("internalPorts.0", "3"),
+        ("listen.front", "127.0.0.1:1"),
+        ("listen.readinessAddr", "127.0.0.1:2"),
+        ("platform.address", "127.0.0.1:4"),
+        ("bounds.configApplyMs", "2500.5"),
+        ("bounds.drainMs", "1e3"),
+        ("bounds.graceS", "6.5"),
+        ("bounds.retryBudgetRatio", "0.2"),
+        ("bounds.budgetWindowS", "7.25"),
+        ("bounds.budgetSlack", "58.5"),
+    ];
+    let template = include_str!("../../../../deploy/front.ini");
+    let sections = [
+        "{{#zones}}",
+        "{{/zones}}",
+        "{{^bootstrap}}",
+        "{{/bootstrap}}",
+    ];
+    let without = |text: String, section: &str| text.replace(section, "");
+    let text = sections.into_iter().fold(template.to_owned(), without);
+    let text = text.replace("{{@}} = {{.}}", "a = north");
+    let fill = |text: String, (name, value)| text.replace(&format!("{{{{{name}}}}}"), value);
+    let text = fields.into_iter().fold(text, fill);
+    let settings = FrontSettings::parse("f.ini", &text).expect(&text);
+    assert_eq!(settings.grace, Duration::from_millis(6_500));
+    assert_eq!(settings.budget.window, Duration::from_millis(7_250));
+    assert_eq!(settings.in_force_bound, Duration::from_micros(2_500_500));
+    assert_eq!(settings.leave_bound, Duration::from_secs(1));
+    assert!((settings.shared_allowance - 58.5).abs() < f64::EPSILON);
+}
--- a/crates/model/src/ini.rs
+++ b/crates/model/src/ini.rs
@@ -3,7 +3,9 @@
 
 use derive_more::Display;
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::str::FromStr;
+use std::time::Duration;
 
 /// One fault in an INI file.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
@@ -40,6 +42,9 @@
     values: BTreeMap<String, IniValue>,
 }
 
+/// The range of times in settings.
+pub const TIMES: RangeInclusive<Duration> = Duration::ZERO..=Duration::from_secs(3_600);
+
 /// Some editors write this mark before the first line.
 const BYTE_ORDER_MARK: char = '\u{feff}';
 
@@ -172,7 +177,7 @@
     pub fn number_within(
         &mut self,
         key: &str,
-        range: std::ops::RangeInclusive<f64>,
+        range: RangeInclusive<f64>,
         faults: &mut Vec<IniFault>,
     ) -> Option<f64> {
         let allowed = format!("a number from {} to {}", range.start(), range.end());
@@ -185,6 +190,46 @@
         None
     }
 
+    /// Reads an optional whole number that must be within `range`.
+    pub fn count_within(
+        &mut self,
+        key: &str,
+        range: RangeInclusive<u32>,
+        faults: &mut Vec<IniFault>,
+    ) -> Option<u32> {
+        let limits = f64::from(*range.start())..=f64::from(*range.end());
+        let number = self.number_within(key, limits, faults)?;
+        if number.fract() == 0.0 {
+            return Some(number as u32);
+        }
+        let problem = format!("`{number}` is not a whole number");
+        faults.push(self.fault_at(key, &problem));
+        None
+    }
+
+    /// Reads an optional duration within `range` from the key `NAME-ms` or `NAME-s`, in
+    /// milliseconds or seconds, which may have a fraction.
+    pub fn duration_within(
+        &mut self,
+        name: &str,
+        range: RangeInclusive<Duration>,
+        faults: &mut Vec<IniFault>,
+    ) -> Option<Duration> {
+        let units = [("ms", 1_000.0), ("s", 1.0)];
+        let [milliseconds, seconds] = units.map(|(unit, per_second)| {
+            let key = format!("{name}-{unit}");
+            let limit = |duration: &Duration| duration.as_secs_f64() * per_second;
+            let limits = limit(range.start())..=limit(range.end());
+            let number = self.number_within(&key, limits, faults)?;
+            Some(Duration::from_secs_f64(number / per_second))
+        });
+        if milliseconds.is_some() && seconds.is_some() {
+            let problem = format!("`{name}-ms` is set too; only one of them is allowed");
+            faults.push(self.fault_at(&format!("{name}-s"), &problem));
+        }
+        milliseconds.or(seconds)
+    }
+
     /// Reads an optional switch, `on` or `off`.
     pub fn switch(&mut self, key: &str, faults: &mut Vec<IniFault>) -> Option<bool> {
         let text: String = self.optional(key, "on, off", faults)?;
--- a/crates/model/src/rules.rs
+++ b/crates/model/src/rules.rs
@@ -6,12 +6,16 @@
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, serde_as};
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
-const RANK_KEYS: &str = "share, deadline-ms, max-refused";
+const DEADLINES: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(600);
+const RETENTIONS: RangeInclusive<Duration> = Duration::from_secs(60)..=Duration::from_secs(604_800);
+const RANK_KEYS: &str = "share, deadline-ms or deadline-s, max-refused";
 const RULE_KEYS: &str = "service, caller, kind, rank, idempotent, canary";
 const POLICY_KEYS: &str = "ranked-queues, early-refusal, hedging, hedge-budget, retry-budget, \
-                           newest-snapshot, group-size, seats, claim-retention-s, preempt";
+                           newest-snapshot, group-size, seats, claim-retention-ms or \
+                           claim-retention-s, preempt";
 const DEFAULT_CLAIM_RETENTION: Duration = Duration::from_secs(24 * 3_600);
 const DEFAULT_SHARE: [f64; 3] = [0.5, 0.3, 0.1];
 const DEFAULT_DEADLINE: [Duration; 3] = [
@@ -180,8 +184,8 @@
         if let Some(share) = section.number_within("share", 0.0..=1.0, faults) {
             rule.share = share;
         }
-        if let Some(deadline) = section.number_within("deadline-ms", 1.0..=600_000.0, faults) {
-            rule.deadline = Duration::from_millis(deadline as u64);
+        if let Some(deadline) = section.duration_within("deadline", DEADLINES, faults) {
+            rule.deadline = deadline;
         }
         if let Some(refused) = section.number_within("max-refused", 0.0..=1.0, faults) {
             rule.max_refused = refused;
@@ -253,15 +257,14 @@
                 *target = value;
             }
         }
-        if let Some(size) = section.number_within("group-size", 1.0..=1_024.0, faults) {
-            policy.group_size = size as u32;
+        if let Some(size) = section.count_within("group-size", 1..=1_024, faults) {
+            policy.group_size = size;
         }
-        if let Some(seats) = section.number_within("seats", 1.0..=64.0, faults) {
-            policy.seats = seats as u32;
+        if let Some(seats) = section.count_within("seats", 1..=64, faults) {
+            policy.seats = seats;
         }
-        if let Some(seconds) = section.number_within("claim-retention-s", 60.0..=604_800.0, faults)
-        {
-            policy.claim_retention = Duration::from_secs(seconds as u64);
+        if let Some(time) = section.duration_within("claim-retention", RETENTIONS, faults) {
+            policy.claim_retention = time;
         }
         section.finish(POLICY_KEYS, faults);
     }
--- a/crates/model/tests/all/main.rs
+++ b/crates/model/tests/all/main.rs
@@ -2,3 +2,4 @@
 
 mod configuration;
 mod coverage;
+mod ini;
