--- a/crates/standins/src/front/object_store.rs
+++ b/crates/standins/src/front/object_store.rs
@@ -49,6 +49,16 @@
 struct StoreSnapshot {
     objects: BTreeMap<(String, String), Value>,
     revision: u64,
+    pages: StalePages,
+}
+
+/// The pages of a list that are stale.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StalePages {
+    /// All of them.
+    All,
+    /// All but the first.
+    Later,
 }
 
 /// The result of a call.
@@ -97,11 +107,12 @@
 
     /// Answers lists that may be stale from the state of now until the next call of
     /// this function or of [`Self::refresh_stale_lists`].
-    pub fn hold_stale_lists(&self) {
+    pub fn hold_stale_lists(&self, pages: StalePages) {
         let mut state = self.lock();
         state.stale = Some(StoreSnapshot {
             objects: state.objects.clone(),
             revision: state.revision,
+            pages,
         });
     }
 
@@ -264,7 +275,11 @@
     fn list(&self, kind: &str, after: &str, may_be_stale: bool) -> Value {
         let state = self.lock();
         let (objects, revision) = match &state.stale {
-            Some(snapshot) if may_be_stale => (&snapshot.objects, snapshot.revision),
+            Some(snapshot)
+                if may_be_stale && (snapshot.pages == StalePages::All || !after.is_empty()) =>
+            {
+                (&snapshot.objects, snapshot.revision)
+            }
             Some(_) | None => (&state.objects, state.revision),
         };
         let of_kind = objects.iter().filter(|((other, _), _)| other == kind);
--- a/tests/all/front/departures.rs
+++ b/tests/all/front/departures.rs
@@ -2,11 +2,14 @@
 
 use super::{new_id, testbed, wait_version};
 use camphorway_standins::front::http_message::HttpMessage;
-use camphorway_standins::front::testbed::{FrontTestbed, request_text};
+use camphorway_standins::front::object_store::StalePages;
+use camphorway_standins::front::signed_server::SignedServer;
+use camphorway_standins::front::testbed::{FrontTestbed, records, request_text};
 use rustix::process::Signal;
 use serde_json::json;
 use std::io::{BufReader, Write};
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// A server that leaves receives no new work after this time.
@@ -42,6 +45,30 @@
     check_no_work_after_drain(&testbed, 0);
 }
 
+/// A page that was older than the first one hid for good what had changed in between: a
+/// front used a server on it that was draining, or gone, and not one that was new.
+#[test]
+fn an_older_second_page_hides_no_change() {
+    let mut testbed = testbed(4, 0);
+    testbed.store.hold_stale_lists(StalePages::Later);
+    let [draining, gone, unchanged] = [0, 1, 2].map(|index| Arc::clone(&testbed.servers[3][index]));
+    testbed.register(&draining, "service3", "a", "draining");
+    testbed.store.remove("servers", &gone.name);
+    let new = SignedServer::start("i-4", records(3)).expect("a server");
+    testbed.register(&new, "service3", "a", "ready");
+    testbed.add_front("a").expect("a front");
+    testbed.wait_ready().expect("it is ready");
+    std::thread::sleep(DRAIN_BOUND);
+    unchanged.terminate();
+    for _ in 0..10 {
+        let answer = testbed.send_request(0, "GET", "/s3/", &new_id());
+        assert_eq!(answer.expect("an answer").status(), 200);
+    }
+    assert_eq!(draining.arrivals().len(), 0, "the server is draining");
+    assert_eq!(gone.arrivals().len(), 0, "the server is gone");
+    assert!(!new.arrivals().is_empty(), "the new server is used");
+}
+
 fn check_no_work_after_drain(testbed: &FrontTestbed, server: usize) {
     let announced_at = Instant::now();
     while announced_at.elapsed() < DRAIN_BOUND + Duration::from_millis(500) {
--- a/tests/all/front/peers.rs
+++ b/tests/all/front/peers.rs
@@ -4,7 +4,7 @@
 use camphorway_model::{FailureDomain, FrontRecord, PeerKey};
 use camphorway_policy::feed_order::first_in_domain;
 use camphorway_standins::fleet::wait_for;
-use camphorway_standins::front::object_store::StoreFault;
+use camphorway_standins::front::object_store::{StalePages, StoreFault};
 use camphorway_standins::front::signed_server::POISON;
 use camphorway_standins::front::tcp_proxy::ProxyFault;
 use camphorway_standins::front::testbed::{FrontTestbed, TestbedFront};
@@ -147,7 +147,7 @@
     let [first, second] = feed_order(&testbed)[..] else {
         panic!("two fronts");
     };
-    testbed.store.hold_stale_lists();
+    testbed.store.hold_stale_lists(StalePages::All);
     let process = &testbed.fronts[first].process;
     process.signal(Signal::STOP).expect("a signal");
     let version = testbed.configure(&testbed.routes());
