--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -13,8 +13,8 @@
 const STORE_KEYS: &str = "address, token-file, calls-per-second";
 const TLS_KEYS: &str = "ca-file, certificate-file, key-file";
 const LIMIT_KEYS: &str = "body-bytes, header-bytes, connections, requests, \
-                          read-timeout-ms or read-timeout-s, balancer-lag-ms or \
-                          balancer-lag-s, drain-ms or drain-s";
+                          read-timeout-ms, read-timeout-s, balancer-lag-ms, \
+                          balancer-lag-s, drain-ms, drain-s";
 
 /// All settings of one daemon.
 #[derive(Clone, Debug)]
--- a/crates/front/src/settings.rs
+++ b/crates/front/src/settings.rs
@@ -12,11 +12,11 @@
 use std::time::Duration;
 
 const FRONT_KEYS: &str = "vm, failure-domain, callers, readiness, peers, log-level, \
-                          answer-margin-ms or answer-margin-s";
+                          answer-margin-ms, answer-margin-s";
 const STORE_KEYS: &str = "address";
-const BOUND_KEYS: &str = "in-force-ms or in-force-s, leave-ms or leave-s";
-const STOP_KEYS: &str = "grace-ms or grace-s";
-const BUDGET_KEYS: &str = "ratio, window-ms or window-s, allowance, shared-allowance, restart";
+const BOUND_KEYS: &str = "in-force-ms, in-force-s, leave-ms, leave-s";
+const STOP_KEYS: &str = "grace-ms, grace-s";
+const BUDGET_KEYS: &str = "ratio, window-ms, window-s, allowance, shared-allowance, restart";
 const SECTIONS: &str = "front, store, bounds, stop, budget, regions";
 
 const DEFAULT_BOUND: Duration = Duration::from_secs(3);
--- a/crates/model/src/rules.rs
+++ b/crates/model/src/rules.rs
@@ -11,10 +11,10 @@
 
 const DEADLINES: RangeInclusive<Duration> = Duration::from_millis(1)..=Duration::from_secs(600);
 const RETENTIONS: RangeInclusive<Duration> = Duration::from_secs(60)..=Duration::from_secs(604_800);
-const RANK_KEYS: &str = "share, deadline-ms or deadline-s, max-refused";
+const RANK_KEYS: &str = "share, deadline-ms, deadline-s, max-refused";
 const RULE_KEYS: &str = "service, caller, kind, rank, idempotent, canary";
 const POLICY_KEYS: &str = "ranked-queues, early-refusal, hedging, hedge-budget, retry-budget, \
-                           newest-snapshot, group-size, seats, claim-retention-ms or \
+                           newest-snapshot, group-size, seats, claim-retention-ms, \
                            claim-retention-s, preempt";
 const DEFAULT_CLAIM_RETENTION: Duration = Duration::from_secs(24 * 3_600);
 const DEFAULT_SHARE: [f64; 3] = [0.5, 0.3, 0.1];
