--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -8,7 +8,7 @@
 use derive_more::Display;
 use http_body_util::Full;
 use hyper::http::{request, response};
-use hyper::{HeaderMap, Method, Request, Response, Uri};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -96,6 +96,21 @@
     pub headers: HeaderMap,
 }
 
+impl ReplyHead {
+    /// Whether the reply is the answer to the request with this id. One that names no
+    /// request may be bytes that a faulty server added to an earlier answer.
+    pub fn is_answer_to(&self, request: &str) -> bool {
+        self.request.as_deref() == Some(request)
+    }
+
+    /// Whether the reply, an answer with `status`, can be used: a success is signed and
+    /// is not encoded.
+    pub fn is_usable(&self, status: StatusCode) -> bool {
+        let is_unsigned = status.is_success() && self.signature.is_none();
+        !is_unsigned && !self.is_encoded
+    }
+}
+
 /// What a server says of itself in an answer, whatever its status.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerSignals {
--- a/crates/front/src/server_call.rs
+++ b/crates/front/src/server_call.rs
@@ -107,7 +107,7 @@
     AnswerCut,
     /// The bytes are no answer, or too many.
     Malformed,
-    /// The answer belongs to another request, lacks a signature or is encoded.
+    /// The answer names another request or none, lacks a signature or is encoded.
     Mismatched,
     /// The call timed out.
     Timeout,
@@ -270,14 +270,13 @@
     ) -> Result<(ReplyHead, ServerAnswer), CallEnd> {
         let (parts, body) = response.into_parts();
         let mut reply = self.wire.read_reply(&parts);
-        let is_mismatched = reply.request.as_ref().is_some_and(|id| *id != spec.head.id);
-        if !is_mismatched {
-            permit
-                .endpoint()
-                .apply_signals(&reply.signals, &spec.head.id);
+        if !reply.is_answer_to(&spec.head.id) {
+            return Err(CallEnd::Lost(LostCause::Mismatched));
         }
-        let is_unsigned = parts.status.is_success() && reply.signature.is_none();
-        if is_mismatched || is_unsigned || reply.is_encoded {
+        permit
+            .endpoint()
+            .apply_signals(&reply.signals, &spec.head.id);
+        if !reply.is_usable(parts.status) {
             return Err(CallEnd::Lost(LostCause::Mismatched));
         }
         let is_delimited =
--- a/crates/standins/src/front/signed_server.rs
+++ b/crates/standins/src/front/signed_server.rs
@@ -41,6 +41,10 @@
     MismatchedAnswer,
     /// The answer is sent twice.
     ExtraAnswer,
+    /// A rejection that names no request arrives before the answer.
+    StrayRejection,
+    /// A misdirection that names no request arrives before the answer.
+    StrayMisdirection,
     /// The answer has no length and ends with the connection.
     Unframed,
     /// The answer has no length, and the connection is reset in its middle.
@@ -197,7 +201,11 @@
             let target_instance = request.header("target-instance");
             if !target_instance.is_empty() && target_instance != self.name {
                 self.record_arrival(&request, false);
-                stream.write_all(&response_bytes(421, &[("instance-id", &self.name)], b""))?;
+                let headers = [
+                    ("instance-id", self.name.as_str()),
+                    ("request-id", request.header("request-id")),
+                ];
+                stream.write_all(&response_bytes(421, &headers, b""))?;
                 continue;
             }
             if !self.respond(&request, stream)? {
@@ -229,9 +237,18 @@
         let signals = rate_limit
             .iter()
             .map(|rate| ("server-limit", rate.as_str()));
+        let stray: &[u8] = match fault {
+            ServerFault::StrayRejection => &response_bytes(503, &[("not-executed", "1")], b""),
+            ServerFault::StrayMisdirection => &response_bytes(421, &[], b""),
+            _ => b"",
+        };
+        stream.write_all(stray)?;
         if fault == ServerFault::Reject {
             self.record_arrival(request, false);
-            let mut headers = vec![("not-executed", "1")];
+            let mut headers = vec![
+                ("not-executed", "1"),
+                ("request-id", request.header("request-id")),
+            ];
             headers.extend(signals);
             stream.write_all(&response_bytes(503, &headers, b""))?;
             return Ok(true);
@@ -312,7 +329,11 @@
                 let unsigned_headers = [("request-id", id.as_str())];
                 stream.write_all(&response_bytes(200, &unsigned_headers, &body))?;
             }
-            ServerFault::None | ServerFault::Reject | ServerFault::Crash => {
+            ServerFault::None
+            | ServerFault::StrayRejection
+            | ServerFault::StrayMisdirection
+            | ServerFault::Reject
+            | ServerFault::Crash => {
                 stream.write_all(&full_answer)?;
             }
         }
--- a/tests/all/front/faults.rs
+++ b/tests/all/front/faults.rs
@@ -165,6 +165,48 @@
     }
 }
 
+/// Additional bytes of a server, a rejection or a misdirection of no request, counted as
+/// its promise that a request had not run: the request ran again at another server.
+#[test]
+fn an_answer_that_names_no_request_is_a_promise_for_none() {
+    for fault in [ServerFault::StrayRejection, ServerFault::StrayMisdirection] {
+        let testbed = testbed(1, 1);
+        for server in &testbed.servers[0] {
+            server.set_fault(fault);
+        }
+        for _ in 0..10 {
+            let id = new_id();
+            let answer = testbed.send_request(0, "POST", "/once/", &id);
+            assert_eq!(answer.expect("an answer").status(), 502, "{fault:?}");
+            assert_eq!(testbed.run_count(&id), 1, "{fault:?}");
+        }
+        for server in &testbed.servers[0] {
+            server.set_fault(ServerFault::None);
+        }
+        // Nothing that the bytes say of the server is believed.
+        let mut used: Vec<String> = Vec::new();
+        for server in &testbed.servers[0] {
+            server.set_service_time(Duration::from_millis(60));
+        }
+        let address = testbed.fronts[0].caller_address;
+        let send = |_| {
+            std::thread::spawn(move || {
+                let text = request_text("GET", "/s0/", &new_id(), 900);
+                exchange(address, text.as_bytes()).expect("an answer")
+            })
+        };
+        let callers: Vec<_> = (0..6).map(send).collect();
+        for caller in callers {
+            let answer = caller.join().expect("a caller");
+            assert_eq!(answer.status(), 200, "{fault:?}");
+            used.push(answer.header("server-stamp")[..5].to_owned());
+        }
+        used.sort();
+        used.dedup();
+        assert_eq!(used.len(), 3, "{fault:?}: all servers are used: {used:?}");
+    }
+}
+
 #[test]
 fn a_rejected_request_runs_once_at_another_server() {
     let testbed = testbed(1, 1);
