--- a/crates/front/src/control.rs
+++ b/crates/front/src/control.rs
@@ -200,6 +200,17 @@
                 // The channel is closed only when the front stops.
                 let _ = self.context.quarantined.try_send(content);
             }
+            SourceItem::QuarantinedUntil(record) => {
+                event!(
+                    Warn,
+                    "content-held",
+                    content = record.content.0,
+                    lasts_ms = record.lasts.as_millis()
+                );
+                self.context.guard.record_stored(&record);
+                // The channel is closed only when the front stops.
+                let _ = self.context.quarantined.try_send(record.content);
+            }
             SourceItem::Released(content) => {
                 event!(Info, "content-released", content = content.0);
             }
--- a/crates/front/src/counted_source.rs
+++ b/crates/front/src/counted_source.rs
@@ -1,7 +1,9 @@
 //! Counts and logs the calls to the store, by name and result.
 
 use crate::metrics::FrontMetrics;
-use crate::ports::{FeedSource, ListFreshness, SourceError, SourceFeed, SourceItems};
+use crate::ports::{
+    FeedSource, ListFreshness, QuarantineRecord, SourceError, SourceFeed, SourceItems,
+};
 use camphorway_daemon::event;
 use camphorway_model::FrontRecord;
 use camphorway_policy::ContentHash;
@@ -74,11 +76,11 @@
         )
     }
 
-    async fn quarantine(&self, content: ContentHash) -> Result<(), SourceError> {
+    async fn quarantine(&self, record: &QuarantineRecord) -> Result<(), SourceError> {
         self.counted(
             "hold",
             SourceFeed::Quarantined,
-            self.source.quarantine(content).await,
+            self.source.quarantine(record).await,
         )
     }
 
--- a/crates/front/src/crash_guard.rs
+++ b/crates/front/src/crash_guard.rs
@@ -7,7 +7,7 @@
 //! the store.
 
 use crate::crash_notices::CrashNotice;
-use crate::ports::RequestHead;
+use crate::ports::{QuarantineRecord, RequestHead};
 use crate::server_endpoint::ServerEndpoint;
 use async_channel::{Receiver, Sender};
 use bytes::Bytes;
@@ -16,8 +16,11 @@
 use camphorway_daemon::http_client::{ConnectError, connect};
 use camphorway_daemon::sync::lock;
 use camphorway_daemon::task::TaskSpawner;
-use camphorway_model::CanaryMode;
-use camphorway_policy::{ClearReport, ContentHash, ContentVerdict, CrashReport, QuarantineTable};
+use camphorway_model::{CanaryMode, FrontRecord, VmName};
+use camphorway_policy::{
+    ClearReport, ContentHash, ContentVerdict, CrashReport, QuarantineNotice, QuarantineTable,
+    RetryTurn,
+};
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -39,6 +42,9 @@
     table: Mutex<QuarantineTable>,
     /// The contents of which this front has itself detected a crash.
     own_contents: Mutex<HashSet<ContentHash>>,
+    turn: RetryTurn,
+    /// The registered fronts, without this one.
+    members: Arc<Mutex<Vec<FrontRecord>>>,
     quarantine_sender: Sender<ContentHash>,
     notice_sender: Sender<CrashNotice>,
     clock: DaemonClock,
@@ -61,13 +67,20 @@
 }
 
 impl CrashGuard {
-    /// Creates a guard, and the channels of what it tells others.
-    pub fn new(clock: &DaemonClock, spawner: &TaskSpawner) -> (Self, GuardOutput) {
+    /// Creates the guard of the front `own`, and the channels of what it tells others.
+    pub fn new(
+        own: &VmName,
+        members: &Arc<Mutex<Vec<FrontRecord>>>,
+        clock: &DaemonClock,
+        spawner: &TaskSpawner,
+    ) -> (Self, GuardOutput) {
         let (quarantine_sender, quarantined) = async_channel::bounded(MAX_WAITING);
         let (notice_sender, notices) = async_channel::bounded(MAX_WAITING_NOTICES);
         let guard = Self {
             table: Mutex::default(),
             own_contents: Mutex::default(),
+            turn: RetryTurn::new(own, clock.now()),
+            members: Arc::clone(members),
             quarantine_sender,
             notice_sender,
             clock: clock.clone(),
@@ -86,21 +99,49 @@
         lock(&self.table).counts(self.clock.now())
     }
 
-    /// How `content` may run.
-    pub fn verdict(&self, content: ContentHash) -> ContentVerdict {
+    /// How a request with `content` may run. Content whose quarantine has ended is
+    /// admitted in this front's turn, once at a time.
+    pub fn admit(&self, content: ContentHash) -> ContentVerdict {
         let now = self.clock.now();
-        lock(&self.table).verdict(content, CanaryMode::Suspects, now)
+        let mut table = lock(&self.table);
+        let verdict = table.verdict(content, CanaryMode::Suspects, now);
+        if verdict != ContentVerdict::SuspectAlone {
+            return verdict;
+        }
+        let members = lock(&self.members);
+        let others = members.iter().map(|member| &member.vm);
+        let turn = self.turn.delay(content, others, now);
+        table.admit(content, CanaryMode::Suspects, turn, now)
     }
 
-    /// Records that another front has quarantined `content`.
+    /// Records that another front has quarantined `content`, for an unknown time.
     pub fn record_remote_quarantine(&self, content: ContentHash) {
         let now = self.clock.now();
         lock(&self.table).record_quarantine(content, now);
     }
 
-    /// Whether `content` is quarantined.
-    pub fn is_quarantined(&self, content: ContentHash) -> bool {
-        matches!(self.verdict(content), ContentVerdict::Quarantined(_))
+    /// Records a quarantine that the store holds.
+    pub fn record_stored(&self, record: &QuarantineRecord) {
+        let ends_in = record.ends_at_ms.saturating_sub(self.clock.unix_ms());
+        let notice = QuarantineNotice {
+            content: record.content,
+            ends_in: Duration::from_millis(ends_in),
+            lasts: record.lasts,
+        };
+        lock(&self.table).record_notice(&notice, self.clock.now());
+    }
+
+    /// What the store should hold of `content`, if it is quarantined.
+    pub fn record_to_store(&self, content: ContentHash) -> Option<QuarantineRecord> {
+        let notice = lock(&self.table).notice(content, self.clock.now())?;
+        if notice.ends_in.is_zero() {
+            return None;
+        }
+        Some(QuarantineRecord {
+            content,
+            ends_at_ms: self.clock.unix_ms() + notice.ends_in.as_millis() as u64,
+            lasts: notice.lasts,
+        })
     }
 
     /// Records that `content` was answered. Needed if it is suspect, or may
--- a/crates/front/src/feed_cache.rs
+++ b/crates/front/src/feed_cache.rs
@@ -172,7 +172,8 @@
                 SourceItem::Configuration(_)
                 | SourceItem::Server(_)
                 | SourceItem::Front(_)
-                | SourceItem::Quarantined(_) => {
+                | SourceItem::Quarantined(_)
+                | SourceItem::QuarantinedUntil(_) => {
                     self.items.insert(item.name(), item.clone());
                 }
             }
--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -122,7 +122,8 @@
         .map_err(StartError::Thread)?;
     let view = Arc::default();
     let (stall_notices, notices) = StallNotices::new(Arc::clone(&view));
-    let (guard, guard_output) = CrashGuard::new(&clock, &spawner);
+    let members = Arc::default();
+    let (guard, guard_output) = CrashGuard::new(&settings.vm, &members, &clock, &spawner);
     let own = FrontRecord {
         vm: settings.vm.clone(),
         domain: settings.domain.clone(),
@@ -146,7 +147,7 @@
         pinned,
         links: Arc::new(links),
         feed_cache: Arc::default(),
-        members: Arc::default(),
+        members,
         stall_notices: Arc::new(stall_notices),
         guard: Arc::new(guard),
         view,
--- a/crates/front/src/membership.rs
+++ b/crates/front/src/membership.rs
@@ -82,8 +82,10 @@
     Source: FeedSource,
 {
     while let Ok(content) = quarantined.recv().await {
-        while guard.is_quarantined(content) && !feed_context.stop.is_cancelled() {
-            match feed_context.source.quarantine(content).await {
+        while !feed_context.stop.is_cancelled()
+            && let Some(record) = guard.record_to_store(content)
+        {
+            match feed_context.source.quarantine(&record).await {
                 Ok(()) => {
                     event!(Info, "content-told", content = content.0);
                     break;
@@ -125,6 +127,8 @@
             // The front stops.
             Err(_) => return,
             Ok(Some(content)) => {
+                // A later quarantine of it replaces the one before.
+                waiting.retain(|(_, other)| *other != content);
                 waiting.push_back((feed_context.clock.now() + RELEASE_AFTER, content));
             }
             Ok(None) => {
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -10,6 +10,7 @@
 use hyper::http::{request, response};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
 use std::time::Duration;
 
 /// Names and formats of the HTTP messages of callers and backend servers.
@@ -172,7 +173,7 @@
     Front(FrontRecord),
     /// A front's registration was removed.
     FrontGone(VmName),
-    /// Quarantined content.
+    /// Quarantined content; the end of its quarantine is unknown.
     Quarantined(ContentHash),
     /// Content is no longer quarantined.
     Released(ContentHash),
@@ -185,6 +186,8 @@
         /// Why it can't be read.
         cause: String,
     },
+    /// Quarantined content, with the end of its quarantine.
+    QuarantinedUntil(QuarantineRecord),
 }
 
 impl SourceItem {
@@ -198,11 +201,25 @@
             Self::Front(record) => record.vm.to_string(),
             Self::FrontGone(vm) => vm.to_string(),
             Self::Quarantined(content) | Self::Released(content) => content.0.to_string(),
+            Self::QuarantinedUntil(record) => record.content.0.to_string(),
             Self::Unreadable { name, .. } => name.clone(),
         }
     }
 }
 
+/// A quarantine as it is stored.
+#[serde_as]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct QuarantineRecord {
+    /// The content.
+    pub content: ContentHash,
+    /// The time at which it ends, in Unix milliseconds. Clocks of VMs differ by seconds.
+    pub ends_at_ms: u64,
+    /// The time that it lasts.
+    #[serde_as(as = "DurationMilliSeconds")]
+    pub lasts: Duration,
+}
+
 /// The required freshness of a list.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ListFreshness {
@@ -282,10 +299,11 @@
         front: &FrontRecord,
     ) -> impl Future<Output = Result<(), SourceError>> + Send;
 
-    /// Quarantines content at all fronts.
+    /// Quarantines content at all fronts, also at those that start later; replaces an
+    /// earlier quarantine of the content.
     fn quarantine(
         &self,
-        content: ContentHash,
+        record: &QuarantineRecord,
     ) -> impl Future<Output = Result<(), SourceError>> + Send;
 
     /// Removes content from the quarantine.
--- a/crates/front/src/request_handler.rs
+++ b/crates/front/src/request_handler.rs
@@ -123,7 +123,7 @@
             return RoutedAnswer::Refused(RefusedAnswer::new(&proof, STOP_RETRY_AFTER));
         }
         let content = content_of(&head, &body);
-        let verdict = self.context.guard.verdict(content);
+        let verdict = self.context.guard.admit(content);
         if let ContentVerdict::Quarantined(remaining) = verdict {
             let token = UnsentToken::for_new_request();
             event!(Warn, "request-held", request = id, content = content.0);
--- a/crates/front/tests/all/quarantine.rs
+++ b/crates/front/tests/all/quarantine.rs
@@ -9,7 +9,9 @@
 use camphorway_daemon::task::TaskSpawner;
 use camphorway_front::feed::FeedContext;
 use camphorway_front::membership;
-use camphorway_front::ports::{FeedSource, ListFreshness, SourceError, SourceFeed, SourceItems};
+use camphorway_front::ports::{
+    FeedSource, ListFreshness, QuarantineRecord, SourceError, SourceFeed, SourceItems,
+};
 use camphorway_model::{FailureDomain, FrontRecord, VmName};
 use camphorway_policy::{ContentHash, FeedOrder};
 use std::collections::HashMap;
@@ -55,7 +57,7 @@
         Ok(())
     }
 
-    async fn quarantine(&self, _content: ContentHash) -> Result<(), SourceError> {
+    async fn quarantine(&self, _record: &QuarantineRecord) -> Result<(), SourceError> {
         Ok(())
     }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod rate_limit;
 pub mod records;
 pub mod replica;
+pub mod retry_turn;
 pub mod silence;
 pub mod snapshot_choice;
 pub mod split;
@@ -47,11 +48,14 @@
 pub use latency::LatencyWindow;
 pub use memory_ledger::{MemoryLedger, MemoryRefused, MessageId, YieldingMessages};
 pub use notice_route::{NoticeReach, NoticeRoute};
-pub use quarantine::{ClearReport, ContentHash, ContentVerdict, CrashReport, QuarantineTable};
+pub use quarantine::{
+    ClearReport, ContentHash, ContentVerdict, CrashReport, QuarantineNotice, QuarantineTable,
+};
 pub use queue::{CallId, KindHash, RankedQueue, WaitingCall};
 pub use rate_limit::{CallPacer, LimitedServer, MAX_RATE_LIMIT, RateShare};
 pub use records::greatest_records;
 pub use replica::{ReplicaOutcome, ReplicaStats, ServerDistance};
+pub use retry_turn::RetryTurn;
 pub use silence::SilentPeers;
 pub use split::WeightedSplit;
 pub use stall::{ServerStall, StallChange};
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -8,6 +8,10 @@
 //! one more crash quarantines it for twice as long. A suspect that succeeds is
 //! cleared, since the crashes that this guards against occur whenever the content
 //! runs.
+//!
+//! A quarantine begins with the crash that causes it, so that it ends at the same time
+//! at all daemons, whenever they receive the report. A daemon that starts later takes
+//! it over with its end.
 
 use camphorway_model::{CanaryMode, ServerName};
 use serde::{Deserialize, Serialize};
@@ -18,6 +22,11 @@
 const SUSPECT_LIFETIME: Duration = Duration::from_secs(60);
 const MIN_QUARANTINE_TIME: Duration = Duration::from_secs(30);
 const MAX_QUARANTINE_TIME: Duration = Duration::from_secs(600);
+/// All daemons know a quarantine this long after it began: a later crash shows that the
+/// content was tried again.
+const SPREAD_TIME: Duration = Duration::from_secs(5);
+/// A daemon tries content whose quarantine has ended once in this time.
+const TRIAL_TIME: Duration = Duration::from_secs(3);
 /// Content that was quarantined stays suspect this long after it is admitted again.
 const RELAPSE_LIFETIME: Duration = Duration::from_secs(600);
 const MAX_PROVEN: usize = 65_536;
@@ -78,6 +87,17 @@
     pub age_ms: u64,
 }
 
+/// A quarantine, as reported to other daemons.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct QuarantineNotice {
+    /// The content.
+    pub content: ContentHash,
+    /// The time until it ends.
+    pub ends_in: Duration,
+    /// The time that it lasts; the next one lasts twice as long.
+    pub lasts: Duration,
+}
+
 #[derive(Clone, Debug)]
 struct Crash {
     server: ServerName,
@@ -89,6 +109,8 @@
 struct Suspect {
     crashes: BTreeMap<u64, Crash>,
     quarantine: Option<Quarantine>,
+    /// The last time at which it was tried after a quarantine.
+    tried_at: Option<Instant>,
 }
 
 /// The latest quarantine of a content.
@@ -99,19 +121,19 @@
 }
 
 impl Quarantine {
-    fn starting(now: Instant, lasts: Duration) -> Self {
+    fn starting(began: Instant, lasts: Duration) -> Self {
         Self {
-            until: now + lasts,
+            until: began + lasts,
             lasts,
         }
     }
 
-    /// The quarantine after a crash at `now`, which is longer if this one has ended.
-    fn after_crash(self, now: Instant) -> Self {
-        if now < self.until {
+    /// The quarantine after a crash at `at`: a longer one if the content was tried again.
+    fn after_crash(self, at: Instant) -> Self {
+        if at + self.lasts < self.until + SPREAD_TIME {
             return self;
         }
-        Self::starting(now, (self.lasts * 2).min(MAX_QUARANTINE_TIME))
+        Self::starting(at, (self.lasts * 2).min(MAX_QUARANTINE_TIME))
     }
 }
 
@@ -185,16 +207,15 @@
         if suspect.crashes.insert(report.crash, crash).is_some() {
             return false;
         }
-        match suspect.quarantine {
-            // A crash that is reported late belongs to the quarantine before it.
-            Some(latest) if at >= latest.until => {
-                suspect.quarantine = Some(latest.after_crash(now));
-            }
+        suspect.quarantine = match suspect.quarantine {
+            Some(latest) => Some(latest.after_crash(at)),
             None if suspect.is_crash_cause() => {
-                suspect.quarantine = Some(Quarantine::starting(now, MIN_QUARANTINE_TIME));
+                let newest = suspect.crashes.values().map(|crash| crash.at).max();
+                let began = newest.unwrap_or(at);
+                Some(Quarantine::starting(began, MIN_QUARANTINE_TIME))
             }
-            Some(_) | None => {}
-        }
+            None => None,
+        };
         true
     }
 
@@ -210,6 +231,60 @@
         suspect.quarantine.get_or_insert(quarantine);
     }
 
+    /// Records a quarantine that another daemon, or this one before its restart, has
+    /// told, unless this one knows of a longer one.
+    pub fn record_notice(&mut self, notice: &QuarantineNotice, now: Instant) {
+        self.remove_expired(now);
+        let is_full = self.suspects.len() >= MAX_SUSPECTS;
+        if self.cleared.contains_key(&notice.content) || is_full {
+            return;
+        }
+        let lasts = notice.lasts.clamp(MIN_QUARANTINE_TIME, MAX_QUARANTINE_TIME);
+        let suspect = self.suspects.entry(notice.content).or_default();
+        if suspect.quarantine.is_none_or(|own| own.lasts < lasts) {
+            let until = now + notice.ends_in.min(lasts);
+            suspect.quarantine = Some(Quarantine { until, lasts });
+        }
+    }
+
+    /// The latest quarantine of `content`, to be told to other daemons.
+    pub fn notice(&self, content: ContentHash, now: Instant) -> Option<QuarantineNotice> {
+        let latest = self.suspects.get(&content)?.quarantine?;
+        Some(QuarantineNotice {
+            content,
+            ends_in: latest.until.saturating_duration_since(now),
+            lasts: latest.lasts,
+        })
+    }
+
+    /// Like [`Self::verdict`], for one request that runs if it is allowed. Content whose
+    /// quarantine has ended is tried `turn` later, by one request at a time.
+    pub fn admit(
+        &mut self,
+        content: ContentHash,
+        mode: CanaryMode,
+        turn: Duration,
+        now: Instant,
+    ) -> ContentVerdict {
+        let verdict = self.verdict(content, mode, now);
+        let suspect = self.suspects.get_mut(&content);
+        let Some(suspect) = suspect.filter(|_| verdict == ContentVerdict::SuspectAlone) else {
+            return verdict;
+        };
+        let Some(latest) = suspect.quarantine else {
+            return verdict;
+        };
+        let after_trial = suspect.tried_at.map(|at| at + TRIAL_TIME);
+        let due = after_trial
+            .into_iter()
+            .fold(latest.until + turn, Instant::max);
+        if now < due {
+            return ContentVerdict::Quarantined(due.saturating_duration_since(now));
+        }
+        suspect.tried_at = Some(now);
+        verdict
+    }
+
     /// Records that a backend server answered `content`.
     pub fn record_success(&mut self, content: ContentHash, now: Instant) {
         if self.suspects.contains_key(&content) {
--- a/crates/standins/src/front/signed_server.rs
+++ b/crates/standins/src/front/signed_server.rs
@@ -267,40 +267,83 @@
         );
         let mut headers = vec![("request-id", id.as_str()), ("server-stamp", &signature)];
         headers.extend(signals);
-        let full_answer = response_bytes(200, &headers, &body);
-        let unframed_head =
-            format!("HTTP/1.1 200 X\r\nrequest-id: {id}\r\nserver-stamp: {signature}\r\n\r\n");
-        if let Some(start) = crash_start(request.second_word(), &full_answer, &unframed_head) {
+        let answer = SignedAnswer {
+            id: &id,
+            signature: &signature,
+            full: response_bytes(200, &headers, &body),
+            unframed_head: format!(
+                "HTTP/1.1 200 X\r\nrequest-id: {id}\r\nserver-stamp: {signature}\r\n\r\n"
+            ),
+            headers,
+            body: &body,
+        };
+        if let Some(start) = answer.crash_start(request.second_word()) {
             stream.write_all(start)?;
             self.terminate();
             return Ok(false);
         }
+        answer.write(fault, stream)
+    }
+}
+
+/// An answer, and its parts for faults that change it.
+struct SignedAnswer<'text> {
+    id: &'text str,
+    signature: &'text str,
+    headers: Vec<(&'text str, &'text str)>,
+    body: &'text [u8],
+    full: Vec<u8>,
+    unframed_head: String,
+}
+
+impl SignedAnswer<'_> {
+    /// What a server sends of its answer to `target` before it crashes; `None` if it does
+    /// not crash.
+    fn crash_start(&self, target: &str) -> Option<&[u8]> {
+        if target.contains(POISON_IN_HEAD) {
+            return Some(&self.full[..20]);
+        }
+        if target.contains(POISON_IN_BODY) {
+            return Some(&self.full[..self.full.len() - 8]);
+        }
+        let is_unframed = target.contains(POISON_IN_UNFRAMED);
+        is_unframed.then_some(self.unframed_head.as_bytes())
+    }
+
+    /// Writes the answer as `fault` has it; false if the connection ends.
+    fn write(&self, fault: ServerFault, mut stream: &TcpStream) -> io::Result<bool> {
         match fault {
             ServerFault::Hang => thread::sleep(Duration::from_secs(60)),
-            ServerFault::Fail => stream.write_all(&response_bytes(500, &headers, b"fault"))?,
+            ServerFault::Fail => stream.write_all(&response_bytes(500, &self.headers, b"fault"))?,
             ServerFault::LoseAnswer => {
                 reset_on_close(stream);
                 return Ok(false);
             }
             ServerFault::Truncate => {
-                stream.write_all(&full_answer[..full_answer.len() - 8])?;
+                stream.write_all(&self.full[..self.full.len() - 8])?;
                 return Ok(false);
             }
             ServerFault::MismatchedAnswer => {
-                let mismatched_headers = [("request-id", "another"), ("server-stamp", &signature)];
-                stream.write_all(&response_bytes(200, &mismatched_headers, &body))?;
+                let mismatched_headers =
+                    [("request-id", "another"), ("server-stamp", self.signature)];
+                stream.write_all(&response_bytes(200, &mismatched_headers, self.body))?;
             }
             ServerFault::ExtraAnswer => {
-                stream.write_all(&full_answer)?;
+                stream.write_all(&self.full)?;
                 thread::sleep(Duration::from_millis(20));
-                stream.write_all(&full_answer)?;
+                stream.write_all(&self.full)?;
             }
             ServerFault::Unframed | ServerFault::UnframedReset => {
                 let ends_cleanly = fault == ServerFault::Unframed;
-                return write_unframed(stream, unframed_head.as_bytes(), &body, ends_cleanly);
+                return write_unframed(
+                    stream,
+                    self.unframed_head.as_bytes(),
+                    self.body,
+                    ends_cleanly,
+                );
             }
             ServerFault::TruncateHead => {
-                let head = unframed_head.as_bytes();
+                let head = self.unframed_head.as_bytes();
                 stream.write_all(&head[..head.len() - 6])?;
                 return Ok(false);
             }
@@ -312,52 +355,36 @@
                 return write_without_end(stream, b"HTTP/1.1 100 Continue\r\n\r\n");
             }
             ServerFault::EndlessBody => {
-                stream.write_all(unframed_head.as_bytes())?;
+                stream.write_all(self.unframed_head.as_bytes())?;
                 // Slowly, so that many bodies grow at the same time.
                 return write_without_end_paced(stream, &[b'x'; 16_384], ENDLESS_PAUSE);
             }
             ServerFault::EndlessExtra => {
-                stream.write_all(&full_answer)?;
+                stream.write_all(&self.full)?;
                 return write_without_end(stream, &[b'x'; 4_096]);
             }
             ServerFault::HugeIdleTimeout => {
                 let timeout = format!("timeout={}", u64::MAX);
+                let mut headers = self.headers.clone();
                 headers.push(("keep-alive", &timeout));
-                stream.write_all(&response_bytes(200, &headers, &body))?;
+                stream.write_all(&response_bytes(200, &headers, self.body))?;
             }
             ServerFault::Unsigned => {
-                let unsigned_headers = [("request-id", id.as_str())];
-                stream.write_all(&response_bytes(200, &unsigned_headers, &body))?;
+                let unsigned_headers = [("request-id", self.id)];
+                stream.write_all(&response_bytes(200, &unsigned_headers, self.body))?;
             }
             ServerFault::None
             | ServerFault::StrayRejection
             | ServerFault::StrayMisdirection
             | ServerFault::Reject
             | ServerFault::Crash => {
-                stream.write_all(&full_answer)?;
+                stream.write_all(&self.full)?;
             }
         }
         Ok(true)
     }
 }
 
-/// What a server sends of its answer to `target` before it crashes; `None` if it does not
-/// crash.
-fn crash_start<'answer>(
-    target: &str,
-    full: &'answer [u8],
-    unframed_head: &'answer str,
-) -> Option<&'answer [u8]> {
-    if target.contains(POISON_IN_HEAD) {
-        return Some(&full[..20]);
-    }
-    if target.contains(POISON_IN_BODY) {
-        return Some(&full[..full.len() - 8]);
-    }
-    let is_unframed = target.contains(POISON_IN_UNFRAMED);
-    is_unframed.then_some(unframed_head.as_bytes())
-}
-
 /// Writes an answer without a length, which ends with its connection or is reset in its
 /// middle.
 fn write_unframed(
--- a/tests/all/front/crashing_content.rs
+++ b/tests/all/front/crashing_content.rs
@@ -10,7 +10,7 @@
     FrontTestbed, exchange, records, request_text, service_name,
 };
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Fronts have discovered each other after this time.
 const DISCOVERY_TIME: Duration = Duration::from_secs(4);
@@ -18,6 +18,7 @@
 const ATTEMPT_PAUSE: Duration = Duration::from_millis(300);
 /// Content that crashed servers is refused for this time at first.
 const QUARANTINE_TIME: Duration = Duration::from_secs(31);
+const BEFORE_RESTART: Duration = Duration::from_secs(8);
 /// The time after the third crash from which the users count further attempts.
 const KNOWN_AFTER: Duration = Duration::from_secs(5);
 
@@ -125,6 +126,37 @@
     check_quarantine_with_cut_front(false);
 }
 
+/// A front that restarted took the quarantine from the store with an end of its own, 30 s
+/// after its start.
+#[test]
+fn a_quarantine_outlives_a_restart_with_its_end() {
+    let mut testbed = testbed(1, 2);
+    let more = add_servers(&testbed, 6);
+    std::thread::sleep(DISCOVERY_TIME);
+    let path = format!("/s0/{POISON}");
+    send(&testbed, 0, &path);
+    let crashed_at = Instant::now();
+    std::thread::sleep(BEFORE_RESTART);
+    assert_eq!(send(&testbed, 1, &path), 503);
+    let before = terminated(&testbed, &more);
+    for front in 0..2 {
+        testbed.restart_front(front).expect("a restart");
+    }
+    testbed.wait_ready().expect("both are ready");
+    for front in 0..2 {
+        let answer = testbed.send_request(front, "GET", &path, &new_id());
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.status(), 503, "front {front}");
+        let retry_after: f64 = answer.header("retry-after").parse().expect("seconds");
+        let ends_in = QUARANTINE_TIME.saturating_sub(crashed_at.elapsed());
+        assert!(
+            retry_after <= ends_in.as_secs_f64(),
+            "front {front}: {retry_after} s, it ends in {ends_in:?}"
+        );
+    }
+    assert_eq!(terminated(&testbed, &more), before);
+}
+
 /// A query whose content had been quarantined ran at all its shards once that ended,
 /// and ended a server of each.
 #[test]
