The daemon's clock counts the time for which its VM is suspended

Which clock: on Linux the steady clock stops while the system is suspended, the clock since boot does not; SIGSTOP stops neither, so a paused process was right before. DaemonClock reads the clock since boot, as an offset to one instant.

--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -5,9 +5,10 @@
 
 use async_io::Timer;
 use futures_lite::{FutureExt, future};
+use rustix::time::{ClockId, clock_gettime};
 use std::collections::BTreeMap;
 use std::fmt;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -86,11 +87,36 @@
     }
 }
 
+/// A time at which both clocks were read.
+#[derive(Clone, Copy, Debug)]
+struct ClockOrigin {
+    instant: Instant,
+    since_boot: Duration,
+}
+
+static ORIGIN: OnceLock<ClockOrigin> = OnceLock::new();
+
+/// The time since the system's start, with the time for which it was suspended.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+/// The monotonic time, which also counts the time for which the system is suspended.
+/// `Instant::now` does not: what was confirmed before would seem to be fresh.
+fn boot_now() -> Instant {
+    let origin = ORIGIN.get_or_init(|| ClockOrigin {
+        instant: Instant::now(),
+        since_boot: since_boot(),
+    });
+    origin.instant + since_boot().saturating_sub(origin.since_boot)
+}
+
 impl DaemonClock {
     /// The current monotonic time.
     pub fn now(&self) -> Instant {
         match self {
-            Self::Real => Instant::now(),
+            Self::Real => boot_now(),
             Self::Test(clock) => clock.start + clock.elapsed(),
         }
     }
