--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -9,6 +9,7 @@
 use crate::feed::{FeedContext, FeedFollower, FeedTimes, SettlingPoint};
 use crate::feed_cache::FeedCache;
 use crate::gauges::FrontGauges;
+use crate::leaving_servers::LeavingServers;
 use crate::membership::{self, OwnFront};
 use crate::metrics::FrontMetrics;
 use crate::peer_port::PeerPort;
@@ -359,6 +360,8 @@
                 members: Arc::clone(&self.members),
                 regions: Arc::new(settings.regions.clone()),
             },
+            leaving: LeavingServers::default(),
+            leave_bound: settings.leave_bound,
             clock: self.clock.clone(),
         }
     }
--- a/crates/front/src/gauges.rs
+++ b/crates/front/src/gauges.rs
@@ -43,6 +43,10 @@
     pub waiting: usize,
     /// Servers that name a limit on requests.
     pub limited: usize,
+    /// Servers that have said that they leave.
+    pub leaving: usize,
+    /// Servers that want no request for a time.
+    pub closed: usize,
 }
 
 impl FrontGauges {
@@ -57,9 +61,16 @@
         let mut counts = EndpointCounts::default();
         metrics.clear_signal_counts();
         for (service, endpoints) in self.view.load().services.iter() {
-            let limited = counts.limited;
+            let before = counts;
             endpoints.add_to(&mut counts, now);
-            metrics.set_signal_count(service, "limit", counts.limited - limited);
+            let signals = [
+                ("limit", counts.limited - before.limited),
+                ("leaving", counts.leaving - before.leaving),
+                ("closed", counts.closed - before.closed),
+            ];
+            for (signal, count) in signals {
+                metrics.set_signal_count(service, signal, count);
+            }
         }
         metrics.set_endpoint_counts(&counts);
         let (suspects, quarantined) = self.guard.counts();
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod front;
 pub mod gauges;
 pub mod known_fronts;
+pub mod leaving_servers;
 pub mod membership;
 pub mod metrics;
 pub mod peer_port;
--- a/crates/front/src/ports.rs
+++ b/crates/front/src/ports.rs
@@ -117,6 +117,10 @@
 pub struct ServerSignals {
     /// Requests a second that it takes from all fronts together.
     pub rate_limit: Option<f64>,
+    /// Whether it leaves: new requests go elsewhere.
+    pub is_leaving: bool,
+    /// For how long it wants no request of this front.
+    pub closed_for: Option<Duration>,
 }
 
 /// Whether a server ran a request.
--- a/crates/front/src/server_endpoint.rs
+++ b/crates/front/src/server_endpoint.rs
@@ -1,6 +1,7 @@
 //! A backend server as a call target: its connections and call statistics.
 
 use crate::gauges::EndpointCounts;
+use crate::leaving_servers::LeavingServers;
 use crate::ports::ServerSignals;
 use crate::server_limit::{ServerLimit, SharingFronts};
 use camphorway_daemon::clock::DaemonClock;
@@ -38,6 +39,10 @@
     pub domain: FailureDomain,
     /// The fronts that share the servers' limits.
     pub fronts: SharingFronts,
+    /// The servers that have said that they leave.
+    pub leaving: LeavingServers,
+    /// A server that leaves gets no new calls after this time.
+    pub leave_bound: Duration,
     /// The front's clock.
     pub clock: DaemonClock,
 }
@@ -47,6 +52,8 @@
 pub struct ServerEndpoint {
     record: ServerRecord,
     fronts: SharingFronts,
+    leaving: LeavingServers,
+    leave_bound: Duration,
     clock: DaemonClock,
     max_connections: AtomicUsize,
     /// The server's limit for all callers together; 0 if unknown.
@@ -69,6 +76,10 @@
     is_misdirected: bool,
     /// The limit that the server names, if any.
     limit: Option<ServerLimit>,
+    /// The time at which the server said that it leaves.
+    leaving_since: Option<Instant>,
+    /// The time until which the server wants no call of this front.
+    closed_until: Option<Instant>,
 }
 
 /// A connection that no call uses.
@@ -88,6 +99,12 @@
 }
 
 impl EndpointState {
+    /// The time until which the server wants no call of this front, if it said so.
+    fn wait_until(&self, now: Instant) -> Option<Instant> {
+        let limited = self.limit.as_ref().and_then(|limit| limit.wait_until(now));
+        limited.max(self.closed_until.filter(|until| now < *until))
+    }
+
     /// Takes a connection that has been idle for at most `max_idle`.
     fn take_idle(&mut self, max_idle: Duration, now: Instant) -> Option<IdleConnection> {
         while let Some(connection) = self.idle.pop() {
@@ -112,6 +129,8 @@
         Self {
             record: record.clone(),
             fronts,
+            leaving: settings.leaving.clone(),
+            leave_bound: settings.leave_bound,
             clock: settings.clock.clone(),
             max_connections: AtomicUsize::new(MIN_CONNECTIONS),
             server_max_connections: AtomicUsize::new(0),
@@ -123,6 +142,8 @@
                 is_called: false,
                 is_misdirected: false,
                 limit: None,
+                leaving_since: settings.leaving.leaving_since(record),
+                closed_until: None,
             }),
         }
     }
@@ -162,6 +183,8 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let is_due = !state.is_called
+            && state.leaving_since.is_none()
+            && state.wait_until(now).is_none()
             && state.warm_ups < MAX_WARM_UPS
             && state.stats.is_healthy(now)
             && state.idle.iter().all(|idle| idle.sender.is_closed());
@@ -183,9 +206,19 @@
     /// Applies what the server said of itself in its answer to `request`.
     pub fn apply_signals(&self, signals: &ServerSignals, request: &str) {
         let now = self.clock.now();
+        self.apply_limit(signals.rate_limit, request, now);
+        if signals.is_leaving {
+            self.apply_leaving(request, now);
+        }
+        if let Some(time) = signals.closed_for {
+            self.apply_closed_time(time, request, now);
+        }
+    }
+
+    fn apply_limit(&self, rate_limit: Option<f64>, request: &str, now: Instant) {
         let mut state = self.lock();
         let was_limited = state.limit.is_some();
-        match (signals.rate_limit, &mut state.limit) {
+        match (rate_limit, &mut state.limit) {
             (Some(rate), Some(limit)) => limit.renew(rate, &self.record, &self.fronts, now),
             (Some(rate), None) => {
                 state.limit = Some(ServerLimit::new(rate, &self.record, &self.fronts, now));
@@ -203,14 +236,46 @@
             signal = "limit",
             server = self.name(),
             service = self.record.service,
-            value = signals
-                .rate_limit
-                .map_or_else(|| "none".to_owned(), |rate| rate.to_string()),
+            value = rate_limit.map_or_else(|| "none".to_owned(), |rate| rate.to_string()),
             share = share.map_or_else(|| "all".to_owned(), |share| share.to_string()),
             request = request
         );
     }
 
+    fn apply_leaving(&self, request: &str, now: Instant) {
+        let mut state = self.lock();
+        if state.leaving_since.is_some() {
+            return;
+        }
+        state.leaving_since = Some(now);
+        state.idle.clear();
+        drop(state);
+        self.leaving.record(&self.record, now);
+        self.log_signal("leaving", "its end", request);
+    }
+
+    fn apply_closed_time(&self, time: Duration, request: &str, now: Instant) {
+        let mut state = self.lock();
+        let was_closed = state.closed_until.is_some_and(|until| now < until);
+        state.closed_until = state.closed_until.max(Some(now + time));
+        drop(state);
+        if !was_closed {
+            self.log_signal("closed", &format!("in {} ms", time.as_millis()), request);
+        }
+    }
+
+    fn log_signal(&self, signal: &str, until: &str, request: &str) {
+        event!(
+            Info,
+            "server-signal",
+            signal = signal,
+            server = self.name(),
+            service = self.record.service,
+            until = until,
+            request = request
+        );
+    }
+
     /// Marks the server as stalled. Returns whether it was not stalled before.
     pub fn mark_stalled(&self) -> bool {
         let now = self.clock.now();
@@ -228,12 +293,14 @@
     }
 
     /// Adds this server's calls and connections to `counts`.
-    pub(crate) fn add_to(&self, counts: &mut EndpointCounts) {
+    pub(crate) fn add_to(&self, counts: &mut EndpointCounts, now: Instant) {
         let state = self.lock();
         counts.running += state.stats.outstanding() as usize;
         counts.idle_connections += state.idle.len();
         counts.connecting += state.connecting;
         counts.limited += usize::from(state.limit.is_some());
+        counts.leaving += usize::from(state.leaving_since.is_some());
+        counts.closed += usize::from(state.closed_until.is_some_and(|until| now < until));
     }
 
     /// The number of running calls.
@@ -266,7 +333,7 @@
     /// Puts back a connection that the call did not use; it stays as old as it was.
     pub(crate) fn put_back(&self, connection: IdleConnection) {
         let mut state = self.lock();
-        if !state.is_misdirected {
+        if !state.is_misdirected && state.leaving_since.is_none() {
             state.idle.push(connection);
         }
     }
@@ -330,21 +397,40 @@
         let limit = self.max_connections.load(Ordering::Relaxed);
         let has_slot = state.stats.has_capacity() && (state.stats.outstanding() as usize) < limit;
         let has_connection = !state.idle.is_empty() || state.connecting < MAX_CONNECTING;
+        // It answers for the bound at least after it has begun to leave.
+        let is_ending = |since| now >= since + self.leave_bound / 2;
+        let suitability = match state.leaving_since {
+            _ if state.is_misdirected => EndpointSuitability::Unusable,
+            Some(since) if is_ending(since) => EndpointSuitability::Unusable,
+            Some(_) => EndpointSuitability::LastResort,
+            None => EndpointSuitability::Usual,
+        };
         EndpointStatus {
-            is_usable: !state.is_misdirected,
+            suitability,
             is_free: has_slot && has_connection,
             is_healthy: state.stats.is_healthy(now),
             cost: state.stats.cost(now) * (1.0 + COST_JITTER * fastrand::f64()),
-            closed_until: state.limit.as_ref().and_then(|limit| limit.wait_until(now)),
+            closed_until: state.wait_until(now),
         }
     }
 }
 
+/// Whether new calls may go to a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum EndpointSuitability {
+    /// They may.
+    Usual,
+    /// It leaves: only if no other server is left.
+    LastResort,
+    /// None.
+    Unusable,
+}
+
 /// Whether and at what cost an endpoint can be called at one time.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EndpointStatus {
     /// Whether the server may be called at all.
-    pub(crate) is_usable: bool,
+    pub(crate) suitability: EndpointSuitability,
     /// Whether it has a free slot and a connection for one more call.
     pub(crate) is_free: bool,
     /// Whether it is neither stalled nor closed.
--- a/crates/front/src/service_endpoints.rs
+++ b/crates/front/src/service_endpoints.rs
@@ -2,7 +2,7 @@
 //! calls that wait for a free server.
 
 use crate::gauges::EndpointCounts;
-use crate::server_endpoint::{EndpointStatus, IdleConnection, ServerEndpoint};
+use crate::server_endpoint::{EndpointStatus, EndpointSuitability, IdleConnection, ServerEndpoint};
 use async_channel::Receiver;
 use camphorway_daemon::clock::DaemonClock;
 use camphorway_daemon::http_client::RequestSender;
@@ -108,7 +108,7 @@
             }
         }
         for endpoint in self.endpoints() {
-            endpoint.add_to(counts);
+            endpoint.add_to(counts, now);
         }
         counts.waiting += lock(&self.waiters.queue).by_priority.len();
     }
@@ -194,10 +194,18 @@
         .iter()
         .filter(|endpoint| !tried.contains(endpoint.name()));
     let candidates = untried.map(|endpoint| (endpoint, endpoint.status(now)));
-    let candidates: Vec<_> = candidates.filter(|(_, status)| status.is_usable).collect();
+    let may_be_called =
+        |(_, status): &(_, EndpointStatus)| status.suitability != EndpointSuitability::Unusable;
+    let mut candidates: Vec<_> = candidates.filter(may_be_called).collect();
     if endpoints.is_empty() {
         return Err(AcquireError::NoServer);
     }
+    // A server that leaves still answers for a while, and is better than none.
+    let is_usual =
+        |(_, status): &(_, EndpointStatus)| status.suitability == EndpointSuitability::Usual;
+    if candidates.iter().any(is_usual) {
+        candidates.retain(is_usual);
+    }
     if candidates.is_empty() {
         return Err(AcquireError::AllTried);
     }
--- a/crates/front/tests/all/idle_connections.rs
+++ b/crates/front/tests/all/idle_connections.rs
@@ -5,6 +5,7 @@
 use camphorway_daemon::clock::{DaemonClock, TestClock};
 use camphorway_daemon::http_client::connect;
 use camphorway_daemon::task::TaskSpawner;
+use camphorway_front::leaving_servers::LeavingServers;
 use camphorway_front::server_endpoint::{EndpointSettings, ServerEndpoint};
 use camphorway_front::server_limit::SharingFronts;
 use camphorway_front::service_endpoints::ServiceEndpoints;
@@ -41,6 +42,8 @@
             members: Arc::new(Mutex::default()),
             regions: Arc::new(HashMap::new()),
         },
+        leaving: LeavingServers::default(),
+        leave_bound: Duration::from_secs(3),
         clock: clock.clone(),
     };
     Arc::new(ServerEndpoint::new(&record, &settings))
--- a/crates/standins/src/front/signed_server.rs
+++ b/crates/standins/src/front/signed_server.rs
@@ -102,6 +102,10 @@
     records: Vec<[u8; 16]>,
     /// Requests a second from all callers that the server's answers name.
     rate_limit: Option<f64>,
+    /// Whether all answers say that the server leaves.
+    is_leaving: bool,
+    /// The value of `Retry-After` in rejections.
+    retry_after: Option<&'static str>,
     arrivals: Vec<ServerArrival>,
     /// Weak, so that a connection closes when its thread drops it.
     connections: Vec<Weak<TcpStream>>,
@@ -122,6 +126,8 @@
                 service_time: Duration::from_millis(2),
                 records,
                 rate_limit: None,
+                is_leaving: false,
+                retry_after: None,
                 arrivals: Vec::new(),
                 connections: Vec::new(),
             }),
@@ -164,6 +170,16 @@
         self.lock().rate_limit = rate_limit;
     }
 
+    /// Says in all answers from now on that the server leaves, or no longer.
+    pub fn set_leaving(&self, is_leaving: bool) {
+        self.lock().is_leaving = is_leaving;
+    }
+
+    /// Sets the value of `Retry-After` in rejections from now on.
+    pub fn set_retry_after(&self, retry_after: Option<&'static str>) {
+        self.lock().retry_after = retry_after;
+    }
+
     /// All requests received so far.
     pub fn arrivals(&self) -> Vec<ServerArrival> {
         self.lock().arrivals.clone()
@@ -228,15 +244,16 @@
 
     /// Handles a request; false if the connection ends.
     fn respond(&self, request: &HttpMessage, mut stream: &TcpStream) -> io::Result<bool> {
-        let (fault, service_time, body, rate_limit) = {
-            let state = self.lock();
-            let body = state.records.concat();
-            (state.fault, state.service_time, body, state.rate_limit)
-        };
-        let rate_limit = rate_limit.map(|rate| rate.to_string());
-        let signals = rate_limit
+        let state = self.lock();
+        let (fault, service_time, body) = (state.fault, state.service_time, state.records.concat());
+        let rate_limit = state.rate_limit.map(|rate| rate.to_string());
+        let (is_leaving, retry_after) = (state.is_leaving, state.retry_after);
+        drop(state);
+        let limit = rate_limit
             .iter()
             .map(|rate| ("server-limit", rate.as_str()));
+        let leaving = is_leaving.then_some(("server-leaving", "1"));
+        let signals = limit.chain(leaving);
         let stray: &[u8] = match fault {
             ServerFault::StrayRejection => &response_bytes(503, &[("not-executed", "1")], b""),
             ServerFault::StrayMisdirection => &response_bytes(421, &[], b""),
@@ -250,6 +267,7 @@
                 ("request-id", request.header("request-id")),
             ];
             headers.extend(signals);
+            headers.extend(retry_after.map(|seconds| ("retry-after", seconds)));
             stream.write_all(&response_bytes(503, &headers, b""))?;
             return Ok(true);
         }
--- a/tests/all/front/signals.rs
+++ b/tests/all/front/signals.rs
@@ -1,6 +1,8 @@
 //! What servers say of themselves in their answers is followed by all fronts.
 
-use super::{new_id, testbed};
+use super::{new_id, testbed, wait_version};
+use camphorway_standins::front::object_store::StoreFault;
+use camphorway_standins::front::signed_server::{ServerFault, SignedServer};
 use camphorway_standins::front::testbed::{FrontTestbed, exchange, request_text};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -154,3 +156,120 @@
         "{after} requests in a second, 30 were allowed before"
     );
 }
+
+/// Sends requests to a front for a time. Returns the number that failed.
+fn send_for(testbed: &FrontTestbed, time: Duration) -> usize {
+    let began = Instant::now();
+    let mut failed = 0;
+    while began.elapsed() < time {
+        let answer = testbed.send_request(0, "GET", "/s0/", &new_id());
+        failed += usize::from(answer.expect("an answer").status() != 200);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    failed
+}
+
+/// A server that left was used as long as the store had it as ready, or didn't answer.
+#[test]
+fn a_server_that_says_that_it_leaves_gets_no_new_requests() {
+    let mut testbed = testbed(1, 1);
+    let leaving = Arc::clone(&testbed.servers[0][0]);
+    testbed.store.set_fault(StoreFault::Silent);
+    leaving.set_leaving(true);
+    while leaving.arrivals().is_empty() {
+        send_for(&testbed, Duration::from_millis(50));
+    }
+    let told = leaving.arrivals().len();
+    assert_eq!(send_for(&testbed, Duration::from_millis(500)), 0);
+    assert_eq!(leaving.arrivals().len(), told, "the store is silent");
+    testbed.store.set_fault(StoreFault::None);
+    // The registration vanishes and is listed anew.
+    testbed.store.remove("servers", &leaving.name);
+    std::thread::sleep(Duration::from_secs(1));
+    testbed.register(&leaving, "service0", "a", "ready");
+    let version = testbed.configure(&testbed.routes());
+    wait_version(&testbed, 0, version);
+    assert_eq!(send_for(&testbed, Duration::from_secs(1)), 0);
+    assert_eq!(leaving.arrivals().len(), told, "it is listed anew");
+    // The same id started again is a new server.
+    leaving.set_leaving(false);
+    testbed.register_incarnation(&leaving, "service0", ("a", "ready"), 2);
+    let began = Instant::now();
+    while leaving.arrivals().len() == told {
+        assert!(began.elapsed() < Duration::from_secs(1), "it is not used");
+        send_for(&testbed, Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn servers_that_all_leave_are_used_for_a_part_of_their_time() {
+    let testbed = testbed(1, 1);
+    for server in &testbed.servers[0] {
+        server.set_leaving(true);
+    }
+    assert_eq!(send_for(&testbed, Duration::from_millis(800)), 0);
+    std::thread::sleep(Duration::from_secs(1));
+    let arrivals = |server: &Arc<SignedServer>| server.arrivals().len();
+    let before: usize = testbed.servers[0].iter().map(arrivals).sum();
+    assert!(send_for(&testbed, Duration::from_millis(300)) > 0);
+    let after: usize = testbed.servers[0].iter().map(arrivals).sum();
+    assert_eq!(after, before, "the last of them is near its end");
+}
+
+/// A server that had turned a request away for a time got more requests meanwhile, from
+/// callers that waited for any server.
+#[test]
+fn a_server_that_turns_requests_away_for_a_time_gets_none_until_then() {
+    let testbed = testbed(1, 1);
+    let closed = &testbed.servers[0][0];
+    closed.set_fault(ServerFault::Reject);
+    closed.set_retry_after(Some("3"));
+    for server in &testbed.servers[0] {
+        server.set_service_time(Duration::from_millis(100));
+    }
+    let callers = SteadyCallers::start(&testbed, "/s0/", 12, Duration::from_millis(2));
+    while closed.arrivals().is_empty() {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    let told_at = closed.arrivals()[0].arrived_at;
+    std::thread::sleep(Duration::from_millis(2_900).saturating_sub(told_at.elapsed()));
+    let known_at = told_at + Duration::from_millis(500);
+    let arrivals = closed.arrivals();
+    let late = arrivals
+        .iter()
+        .filter(|arrival| arrival.arrived_at > known_at);
+    assert_eq!(late.count(), 0, "it wants nothing");
+    let before = arrivals.len();
+    closed.set_fault(ServerFault::None);
+    for other in &testbed.servers[0][1..] {
+        other.terminate();
+    }
+    let began = Instant::now();
+    while closed.arrivals().len() == before {
+        assert!(began.elapsed() < Duration::from_secs(1), "it is not used");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    callers.finish();
+}
+
+/// Requests waited for servers that all wanted none for longer than the requests had.
+#[test]
+fn a_request_that_all_servers_turn_away_is_refused_at_once_with_the_time() {
+    let testbed = testbed(1, 1);
+    for server in &testbed.servers[0] {
+        server.set_fault(ServerFault::Reject);
+        server.set_retry_after(Some("20"));
+    }
+    send_for(&testbed, Duration::from_millis(300));
+    let arrivals = |server: &Arc<SignedServer>| server.arrivals().len();
+    let before: usize = testbed.servers[0].iter().map(arrivals).sum();
+    let began = Instant::now();
+    let answer = testbed.send_request(0, "GET", "/s0/", &new_id());
+    let answer = answer.expect("an answer");
+    assert!(began.elapsed() < Duration::from_millis(50), "at once");
+    assert_eq!(answer.status(), 503);
+    let retry_after: f64 = answer.header("retry-after").parse().expect("seconds");
+    assert!((15.0..=30.0).contains(&retry_after), "{retry_after}");
+    let after: usize = testbed.servers[0].iter().map(arrivals).sum();
+    assert_eq!((before, after), (3, 3), "each has turned one away");
+}
