Soak: odd messages of servers and of the store, beside the faults

Stray rejections and misdirections, bytes without end, servers that turn requests away with a time, name a limit or leave, an entry that is no text and later pages older than the first, as a series with a random stream of its own, so that the seeds of the faults stay what they are.

--- a/crates/standins/src/front/signed_server.rs
+++ b/crates/standins/src/front/signed_server.rs
@@ -92,6 +92,7 @@
     pub address: SocketAddr,
     state: Mutex<ServerState>,
     next_signature: AtomicU64,
+    incarnation: AtomicU64,
     is_terminated: AtomicBool,
 }
 
@@ -132,6 +133,7 @@
                 connections: Vec::new(),
             }),
             next_signature: AtomicU64::new(1),
+            incarnation: AtomicU64::new(1),
             is_terminated: AtomicBool::new(false),
         });
         let acceptor = Arc::clone(&server);
@@ -170,9 +172,20 @@
         self.lock().rate_limit = rate_limit;
     }
 
-    /// Says in all answers from now on that the server leaves, or no longer.
-    pub fn set_leaving(&self, is_leaving: bool) {
-        self.lock().is_leaving = is_leaving;
+    /// Says in all answers from now on that the server leaves.
+    pub fn set_leaving(&self) {
+        self.lock().is_leaving = true;
+    }
+
+    /// Becomes a new process under the same name, once it is registered again.
+    pub fn begin_incarnation(&self) {
+        self.lock().is_leaving = false;
+        self.incarnation.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// The number of the process, which increases.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation.load(Ordering::Relaxed)
     }
 
     /// Sets the value of `Retry-After` in rejections from now on.
--- a/crates/standins/src/front/testbed.rs
+++ b/crates/standins/src/front/testbed.rs
@@ -295,24 +295,13 @@
 
     /// Writes a server's registration.
     pub fn register(&self, server: &SignedServer, service: &str, domain: &str, state: &str) {
-        self.register_incarnation(server, service, (domain, state), 1);
-    }
-
-    /// Writes the registration of a server's process that was born at `born`.
-    pub fn register_incarnation(
-        &self,
-        server: &SignedServer,
-        service: &str,
-        (domain, state): (&str, &str),
-        born: u64,
-    ) {
         let address = self
             .registered_addresses
             .get(&server.name)
             .unwrap_or(&server.address);
         let spec = json!({ "service": service, "address": address, "zone": domain,
             "version": "v1", "slots": 2, "state": state, "warmupLeftMs": 0, "seq": 1,
-            "born": born });
+            "born": server.incarnation() });
         self.store.put("servers", &server.name, &spec);
     }
 
--- a/tests/all/front/signals.rs
+++ b/tests/all/front/signals.rs
@@ -175,7 +175,7 @@
     let mut testbed = testbed(1, 1);
     let leaving = Arc::clone(&testbed.servers[0][0]);
     testbed.store.set_fault(StoreFault::Silent);
-    leaving.set_leaving(true);
+    leaving.set_leaving();
     while leaving.arrivals().is_empty() {
         send_for(&testbed, Duration::from_millis(50));
     }
@@ -192,8 +192,8 @@
     assert_eq!(send_for(&testbed, Duration::from_secs(1)), 0);
     assert_eq!(leaving.arrivals().len(), told, "it is listed anew");
     // The same id started again is a new server.
-    leaving.set_leaving(false);
-    testbed.register_incarnation(&leaving, "service0", ("a", "ready"), 2);
+    leaving.begin_incarnation();
+    testbed.register(&leaving, "service0", "a", "ready");
     let began = Instant::now();
     while leaving.arrivals().len() == told {
         assert!(began.elapsed() < Duration::from_secs(1), "it is not used");
@@ -205,7 +205,7 @@
 fn servers_that_all_leave_are_used_for_a_part_of_their_time() {
     let testbed = testbed(1, 1);
     for server in &testbed.servers[0] {
-        server.set_leaving(true);
+        server.set_leaving();
     }
     assert_eq!(send_for(&testbed, Duration::from_millis(800)), 0);
     std::thread::sleep(Duration::from_secs(1));
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -8,10 +8,12 @@
 
 mod callers;
 mod faults;
+mod messages;
 
 use callers::{SoakAnswer, SoakCallers};
 use camphorway_standins::front::testbed::{FrontTestbed, exchange, request_text, service_name};
 use faults::FaultSeries;
+use messages::MessageSeries;
 use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -34,10 +36,13 @@
     let mut testbed = FrontTestbed::start_proxied(binary, SERVICES, FRONTS).expect("a testbed");
     let callers = SoakCallers::start(&testbed, seed);
     let mut series = FaultSeries::new(seed);
+    let mut messages = MessageSeries::new(seed);
     let began = Instant::now();
     while began.elapsed() < Duration::from_secs(seconds) {
+        messages.change_next(&testbed);
         series.inject_next(&mut testbed);
     }
+    messages.end_all(&testbed);
     series.undo_all(&mut testbed);
     let undone_at = Instant::now();
     let answers = callers.finish();
