Stand-in: an arrival is recorded before the stray bytes

Trace: the stand-in sent the stray bytes, on which the front answers, before it recorded the arrival; with 20 ms between the two in the old order the test fails in the same way each time, in the new order there is nothing between.

--- a/crates/standins/src/front/signed_server.rs
+++ b/crates/standins/src/front/signed_server.rs
@@ -267,12 +267,6 @@
             .map(|rate| ("server-limit", rate.as_str()));
         let leaving = is_leaving.then_some(("server-leaving", "1"));
         let signals = limit.chain(leaving);
-        let stray: &[u8] = match fault {
-            ServerFault::StrayRejection => &response_bytes(503, &[("not-executed", "1")], b""),
-            ServerFault::StrayMisdirection => &response_bytes(421, &[], b""),
-            _ => b"",
-        };
-        stream.write_all(stray)?;
         if fault == ServerFault::Reject {
             self.record_arrival(request, false);
             let mut headers = vec![
@@ -285,6 +279,12 @@
             return Ok(true);
         }
         self.record_arrival(request, true);
+        let stray: &[u8] = match fault {
+            ServerFault::StrayRejection => &response_bytes(503, &[("not-executed", "1")], b""),
+            ServerFault::StrayMisdirection => &response_bytes(421, &[], b""),
+            _ => b"",
+        };
+        stream.write_all(stray)?;
         if fault == ServerFault::Crash || request.second_word().contains(POISON) {
             self.terminate();
             return Ok(false);
